--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+BIN = build
+
+.PHONY: build test lint format run up down bench microbench soak capacity fuzz
+
+build: ## Builds the programs into build/.
+	mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: build ## Runs all tests; cases in KNOWN-RED.txt are skipped and printed.
+	./scripts/test.sh
+
+format: ## Rewrites the sources in the project's format.
+	$(TOOL) gofumpt -w cmd internal pkg
+
+lint: ## Checks format and style.
+	@unformatted=$$($(TOOL) gofumpt -l cmd internal pkg); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	$(TOOL) golangci-lint run ./...
+
+run: build ## Starts both example deployments, shows one answer and one order, stops.
+	$(BIN)/standin run --dir examples
+
+up: build ## Starts both example deployments and prints their addresses.
+	$(BIN)/standin up --dir examples
+
+down: ## Stops gracefully what make up started.
+	$(BIN)/standin down
--- /dev/null
+++ b/cmd/flamingohold/main.go
@@ -0,0 +1,4 @@
+// Command flamingohold is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/process/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides how much work the upstream beside a sidecar may hold.
+package admission
--- /dev/null
+++ b/internal/process/eventlog/eventlog.go
@@ -0,0 +1,52 @@
+package eventlog
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is an entry of the catalogue.
+type Event struct {
+	// Number is unique and never reused.
+	Number int
+	// Name is in snake case and unique.
+	Name string
+	// Level is the zerolog level at which the event is written.
+	Level zerolog.Level
+	// Meaning is one sentence for operators.
+	Meaning string
+	// Action tells operators what to do, "none" where nothing is needed.
+	Action string
+}
+
+// Log writes events of one process. It is safe for concurrent use.
+type Log struct {
+	logger zerolog.Logger
+}
+
+// New returns a log that writes JSON lines with the process's name.
+func New(w io.Writer, level zerolog.Level, process string) *Log {
+	logger := zerolog.New(w).Level(level).With().Timestamp().Str("process", process).Logger()
+	return &Log{logger: logger}
+}
+
+// Discard returns a log that writes nothing, for tests and offline commands.
+func Discard() *Log { return &Log{logger: zerolog.Nop()} }
+
+// Emit starts an entry for the event. The caller adds fields and ends it with
+// Send.
+func (l *Log) Emit(e Event) *zerolog.Event {
+	return l.logger.WithLevel(e.Level).Int("event", e.Number).Str("name", e.Name)
+}
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Event {
+	var events []Event
+	for _, group := range [][]Event{
+		processEvents(), gatewayEvents(), sidecarEvents(), configurationEvents(), policyEvents(),
+	} {
+		events = append(events, group...)
+	}
+	return events
+}
--- /dev/null
+++ b/internal/process/instance/doc.go
@@ -0,0 +1,3 @@
+// Package instance describes an upstream instance as the instance list names
+// it.
+package instance
--- /dev/null
+++ b/internal/process/load/load.go
@@ -0,0 +1,47 @@
+package load
+
+// Phases of a sidecar and its upstream.
+const (
+	// PhaseStarting is the phase before the upstream has answered a probe.
+	PhaseStarting = "starting"
+	// PhaseReady is the phase in which new work is accepted.
+	PhaseReady = "ready"
+	// PhaseLeaving is the phase in which new work is refused and running work
+	// finishes.
+	PhaseLeaving = "leaving"
+)
+
+// Report is the load of one upstream at the time of the message it came with.
+type Report struct {
+	// Instance is the name of the upstream instance.
+	Instance string `json:"instance"`
+	// Incarnation is the sidecar's process incarnation.
+	Incarnation string `json:"incarnation"`
+	// DataCentre is the data centre of the instance.
+	DataCentre string `json:"data_centre"`
+	// Phase is one of the Phase constants.
+	Phase string `json:"phase"`
+	// Running is the number of attempts at the upstream.
+	Running int `json:"running"`
+	// Queued is the number of attempts that wait at the sidecar.
+	Queued int `json:"queued"`
+	// Limit is the largest number of attempts now admitted at once.
+	Limit int `json:"limit"`
+	// FreeMemory is the uncommitted fraction of the engine's block memory, from
+	// 0 to 1. It is 1 for plain services.
+	FreeMemory float64 `json:"free_memory"`
+	// StepMillis is the recent time between tokens in milliseconds.
+	StepMillis float64 `json:"step_ms"`
+	// ConfigurationVersion and ConfigurationHash name the bundle in force.
+	ConfigurationVersion uint64 `json:"configuration_version"`
+	ConfigurationHash    string `json:"configuration_hash"`
+}
+
+// Pressure returns the occupied share of the limit including the queue. It is
+// 0 for an idle upstream and above 1 for one with a queue.
+func (r Report) Pressure() float64 {
+	if r.Limit <= 0 {
+		return float64(r.Running + r.Queued + 1)
+	}
+	return float64(r.Running+r.Queued) / float64(r.Limit)
+}
--- /dev/null
+++ b/internal/process/retrybudget/doc.go
@@ -0,0 +1,2 @@
+// Package retrybudget bounds retries to a fraction of the successes.
+package retrybudget
--- /dev/null
+++ b/internal/process/routing/doc.go
@@ -0,0 +1,3 @@
+// Package routing chooses the instance for an attempt by what a gateway believes about
+// the instances' load.
+package routing
--- /dev/null
+++ b/internal/version/account/doc.go
@@ -0,0 +1,2 @@
+// Package account describes a client account as operators configure it.
+package account
--- /dev/null
+++ b/internal/version/configuration/doc.go
@@ -0,0 +1,3 @@
+// Package configuration holds one version of the operators' configuration as
+// the processes use it.
+package configuration
--- /dev/null
+++ b/pkg/eventid/eventid.go
@@ -0,0 +1,68 @@
+package eventid
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformed is returned for text that is no event identifier.
+var ErrMalformed = errors.New("malformed event identifier")
+
+const maxLength = 256
+
+// ID names a token of a generation. The zero ID names nothing.
+type ID struct {
+	// Generation is "<instance>.<sidecar incarnation>.<sequence>" and contains
+	// no colon.
+	Generation string
+	// Token is the number of the token, counted from 1.
+	Token uint64
+}
+
+// Parse reads the form that String writes. It returns ErrMalformed for
+// anything else.
+func Parse(text string) (ID, error) {
+	if len(text) > maxLength {
+		return ID{}, ErrMalformed
+	}
+	generation, number, found := strings.Cut(text, ":")
+	if !found || strings.Count(generation, ".") != 2 {
+		return ID{}, ErrMalformed
+	}
+	token, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return ID{}, ErrMalformed
+	}
+	i := ID{Generation: generation, Token: token}
+	if i.Instance() == "" || i.Incarnation() == "" {
+		return ID{}, ErrMalformed
+	}
+	return i, nil
+}
+
+// Instance returns the name of the instance that runs the generation.
+func (i ID) Instance() string {
+	instance, _, _ := strings.Cut(i.Generation, ".")
+	return instance
+}
+
+// Incarnation returns the sidecar incarnation that admitted the generation.
+func (i ID) Incarnation() string {
+	_, rest, _ := strings.Cut(i.Generation, ".")
+	incarnation, _, _ := strings.Cut(rest, ".")
+	return incarnation
+}
+
+// String returns "<generation>:<token>".
+func (i ID) String() string {
+	return string(i.Append(nil))
+}
+
+// Append appends the text of String to the buffer and returns it.
+func (i ID) Append(buffer []byte) []byte {
+	buffer = append(buffer, i.Generation...)
+	buffer = append(buffer, ':')
+	return strconv.AppendUint(buffer, i.Token, 10)
+}
--- /dev/null
+++ b/pkg/problem/doc.go
@@ -0,0 +1,3 @@
+// Package problem defines the error document that callers and peers receive,
+// an RFC 9457 problem detail extended by the outcome of the request.
+package problem
