--- /dev/null
+++ b/internal/process/admin/admin_test.go
@@ -0,0 +1,28 @@
+package admin_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/admin"
+)
+
+// Guards against a balancer that keeps sending callers to a draining process.
+func TestReadinessEndsWithADrain(t *testing.T) {
+	ready := true
+	a := admin.New(func() bool { return ready }, func() { ready = false }, http.NotFoundHandler())
+	require.Equal(t, http.StatusOK, status(a, http.MethodGet, "/readyz"))
+	require.Equal(t, http.StatusMethodNotAllowed, status(a, http.MethodGet, "/drain"))
+	require.Equal(t, http.StatusAccepted, status(a, http.MethodPost, "/drain"))
+	require.Equal(t, http.StatusServiceUnavailable, status(a, http.MethodGet, "/readyz"))
+	require.Equal(t, http.StatusOK, status(a, http.MethodGet, "/healthz"))
+}
+
+func status(a *admin.Admin, method, path string) int {
+	recorder := httptest.NewRecorder()
+	a.ServeHTTP(recorder, httptest.NewRequest(method, path, nil))
+	return recorder.Code
+}
