--- /dev/null
+++ b/internal/process/ledger/retention.go
@@ -0,0 +1,104 @@
+package configuration
+
+import (
+	"slices"
+
+	"github.com/flamingohold/flamingohold/internal/version/account"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+	"github.com/flamingohold/flamingohold/internal/version/service"
+)
+
+// Configuration is one version of the configuration. It is never changed after
+// New, so that it can be shared without a lock.
+type Configuration struct {
+	// Version rises with each publication. Versions of equal number are ordered
+	// by Hash.
+	Version uint64
+	// Hash is the SHA-256 of the content in lower-case hex.
+	Hash     string
+	Fleet    fleet.Fleet
+	Services []service.Service
+	Accounts []account.Account
+
+	// accountsByKey maps KeySHA256 to the index in Accounts.
+	accountsByKey map[string]int
+}
+
+// New returns a configuration with the given content, which must not be
+// changed afterwards.
+func New(version uint64, hash string, f fleet.Fleet, services []service.Service, accounts []account.Account) *Configuration {
+	c := &Configuration{
+		Version:       version,
+		Hash:          hash,
+		Fleet:         f,
+		Services:      services,
+		Accounts:      accounts,
+		accountsByKey: make(map[string]int, len(accounts)),
+	}
+	for i := range accounts {
+		c.accountsByKey[accounts[i].KeySHA256] = i
+	}
+	return c
+}
+
+// AccountByKey returns the client account with the key, nil if there is none.
+// Only the hash of the key is compared.
+func (c *Configuration) AccountByKey(key string) *account.Account {
+	i, ok := c.accountsByKey[account.HashKey(key)]
+	if !ok {
+		return nil
+	}
+	return &c.Accounts[i]
+}
+
+// AccountByName returns the client account with the name, nil if there is none.
+func (c *Configuration) AccountByName(name string) *account.Account {
+	i := slices.IndexFunc(c.Accounts, func(a account.Account) bool { return a.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Accounts[i]
+}
+
+// Service returns the service with the name, nil if there is none.
+func (c *Configuration) Service(name string) *service.Service {
+	i := slices.IndexFunc(c.Services, func(s service.Service) bool { return s.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Services[i]
+}
+
+// ServiceForModel returns the engine service that offers the model, nil if
+// there is none.
+func (c *Configuration) ServiceForModel(model string) *service.Service {
+	i := slices.IndexFunc(c.Services, func(s service.Service) bool {
+		return s.Kind == service.KindEngine && s.HasModel(model)
+	})
+	if i < 0 {
+		return nil
+	}
+	return &c.Services[i]
+}
+
+// ServiceForRequest returns the plain service for the host and path, nil if
+// there is none.
+func (c *Configuration) ServiceForRequest(host, path string) *service.Service {
+	i := slices.IndexFunc(c.Services, func(s service.Service) bool {
+		return s.Kind == service.KindPlain && s.Matches(host, path)
+	})
+	if i < 0 {
+		return nil
+	}
+	return &c.Services[i]
+}
+
+// Newer reports whether the bundle (version, hash) comes after this one in the
+// total order on which all processes agree. Any bundle is newer than a nil
+// configuration.
+func (c *Configuration) Newer(version uint64, hash string) bool {
+	if c == nil || version != c.Version {
+		return c == nil || version > c.Version
+	}
+	return hash > c.Hash
+}
