--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,52 @@
-// Command standin is described in the README.
+// Command standin runs the stand-ins of the platform and the upstreams, the
+// local deployments and the load tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is one subcommand.
+type command interface {
+	// attach adds the subcommand to the parser and returns it.
+	attach(parser *flaggy.Parser) *flaggy.Subcommand
+	run(ctx context.Context) error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := runCommand(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// runCommand parses the arguments and runs the subcommand that they name.
+func runCommand(ctx context.Context, arguments []string) error {
+	parser := flaggy.NewParser("standin")
+	parser.Description = "Stand-ins of the platform and the upstreams, local deployments, load tool"
+	commands := []command{
+		newEngineCommand(), &plainCommand{}, newPlatformCommand(), &publishCommand{},
+	}
+	subcommands := make([]*flaggy.Subcommand, len(commands))
+	for i, c := range commands {
+		subcommands[i] = c.attach(parser)
+	}
+	if err := parser.ParseArgs(arguments); err != nil {
+		return err
+	}
+	for i, c := range commands {
+		if subcommands[i].Used {
+			return c.run(ctx)
+		}
+	}
+	parser.ShowHelp()
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine/faults.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+)
+
+// fault is the body of POST /admin/fault. Absent fields change nothing.
+type fault struct {
+	// Freeze stops all steps and answers until it is set to false.
+	Freeze *bool `json:"freeze"`
+	// Silent makes all open connections silent for ever; new ones work.
+	Silent bool `json:"silent"`
+	// Cold turns the engine cold.
+	Cold bool `json:"cold"`
+	// Slow multiplies the step time, 1 to end the fault.
+	Slow float64 `json:"slow"`
+}
+
+func (e *Engine) handleFault(w http.ResponseWriter, r *http.Request) {
+	var f fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.inject(f)
+	writeJSON(w, http.StatusOK, f)
+}
+
+func (e *Engine) inject(f fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Freeze != nil {
+		e.setFrozen(*f.Freeze)
+	}
+	if f.Silent {
+		e.silenced++
+	}
+	if f.Cold {
+		e.warmUp = e.options.Profile.WarmUpTokens
+	}
+	if f.Slow > 0 {
+		e.slow = f.Slow
+	}
+}
+
+func (e *Engine) setFrozen(frozen bool) {
+	if frozen && e.frozen == nil {
+		e.frozen = make(chan struct{})
+		e.signal()
+	}
+	if !frozen && e.frozen != nil {
+		close(e.frozen)
+		e.frozen = nil
+	}
+}
+
+type connectionKey struct{}
+
+// ConnContext marks a connection with the time of its opening relative to
+// silent-link faults. It is for http.Server.ConnContext.
+func (e *Engine) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return context.WithValue(ctx, connectionKey{}, e.silenced)
+}
+
+// pass blocks while the engine is frozen and for ever if the connection is
+// silent. It returns an error when the peer is gone.
+func (e *Engine) pass(ctx context.Context) error {
+	e.mu.Lock()
+	frozen := e.frozen
+	opened, known := ctx.Value(connectionKey{}).(uint64)
+	silent := known && opened < e.silenced
+	e.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if frozen == nil {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-frozen:
+		return e.pass(ctx)
+	}
+}
--- /dev/null
+++ b/internal/standin/plainservice/plainservice_test.go
@@ -0,0 +1,56 @@
+package plainservice_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/standin/plainservice"
+)
+
+func post(t *testing.T, s *plainservice.Service, path, key, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	request.Header.Set("Idempotency-Key", key)
+	recorder := httptest.NewRecorder()
+	s.Handler().ServeHTTP(recorder, request)
+	return recorder
+}
+
+// Guards against a doubled execution that the counts do not show.
+func TestCountsEachExecution(t *testing.T) {
+	s := plainservice.New(plainservice.Options{Name: "hire"})
+	post(t, s, "/bookings", "k1", "a")
+	post(t, s, "/bookings", "k1", "a")
+	post(t, s, "/bookings", "k1", "b")
+	executions := map[int]int{}
+	for _, c := range s.Counts() {
+		executions[c.Executions]++
+	}
+	require.Equal(t, map[int]int{1: 1, 2: 1}, executions)
+}
+
+// Guards against a deduplicating service that runs a key twice.
+func TestDeduplicates(t *testing.T) {
+	s := plainservice.New(plainservice.Options{Deduplicate: true})
+	first := post(t, s, "/bookings", "k1", "a")
+	second := post(t, s, "/bookings", "k1", "a")
+	require.Equal(t, first.Body.String(), second.Body.String())
+	require.Len(t, s.Counts(), 1)
+	require.Equal(t, 1, s.Counts()[0].Executions)
+}
+
+// Guards against a lost answer that leaves no trace in the counts, and a
+// refusal that does.
+func TestFailuresBeforeAndAfterExecution(t *testing.T) {
+	s := plainservice.New(plainservice.Options{})
+	post(t, s, "/admin/fault", "", `{"fail":"before"}`)
+	require.Equal(t, http.StatusInternalServerError, post(t, s, "/bookings", "k1", "a").Code)
+	require.Empty(t, s.Counts())
+	post(t, s, "/admin/fault", "", `{"fail":"after"}`)
+	require.Panics(t, func() { post(t, s, "/bookings", "k1", "a") })
+	require.Len(t, s.Counts(), 1)
+}
