--- /dev/null
+++ b/internal/version/adoption/doc.go
@@ -0,0 +1,2 @@
+// Package adoption decides whether a process puts a published bundle into force.
+package adoption
--- /dev/null
+++ b/internal/version/manifest/manifest.go
@@ -0,0 +1,139 @@
+package manifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxValueBytes bounds the manifest and each chunk. The configuration service
+	// holds values up to 1 MB.
+	MaxValueBytes = 1_000_000
+	// MaxChunks and MaxBundleBytes bound what a reader fetches for one version.
+	// A process spends at most 32 MB on control.
+	MaxChunks      = 512
+	MaxBundleBytes = 16 << 20
+	// MaxVersion is the largest integer that every JSON decoder reads exactly.
+	MaxVersion = 1<<53 - 1
+)
+
+// ErrMalformed is returned for data that is no valid manifest.
+var ErrMalformed = errors.New("malformed manifest")
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Manifest names the content of one version. It is never changed after New or
+// Decode.
+type Manifest struct {
+	// Version is from 1 to MaxVersion.
+	Version uint64 `json:"version"`
+	// Hash covers Version and Chunks, in lower-case hex.
+	Hash string `json:"hash"`
+	// Chunks lists the parts of the content, without repetition.
+	Chunks []Chunk `json:"chunks"`
+}
+
+// Chunk names one part of the content.
+type Chunk struct {
+	// SHA256 is the hash of the part in lower-case hex.
+	SHA256 string `json:"sha256"`
+	// Size is in bytes, from 1 to MaxValueBytes.
+	Size int `json:"size"`
+}
+
+// New returns the manifest of the version with the given chunks.
+func New(version uint64, chunks []Chunk) *Manifest {
+	m := &Manifest{Version: version, Chunks: chunks}
+	m.Hash = m.computeHash()
+	return m
+}
+
+// Describe returns the chunk that names the data.
+func Describe(data []byte) Chunk {
+	sum := sha256.Sum256(data)
+	return Chunk{SHA256: hex.EncodeToString(sum[:]), Size: len(data)}
+}
+
+// ValidHash reports whether the text is a SHA-256 in lower-case hex.
+func ValidHash(text string) bool { return hashPattern.MatchString(text) }
+
+// Decode reads and verifies a manifest. All errors are ErrMalformed. Unknown
+// fields are ignored, so that a later release may add some.
+func Decode(data []byte) (*Manifest, error) {
+	if len(data) > MaxValueBytes {
+		return nil, errors.Wrapf(ErrMalformed, "%d bytes", len(data))
+	}
+	m := new(Manifest)
+	if err := json.Unmarshal(data, m); err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "decode: %v", err)
+	}
+	return m, m.validate()
+}
+
+// Encode returns the manifest's file.
+func (m *Manifest) Encode() ([]byte, error) {
+	if err := m.validate(); err != nil {
+		return nil, err
+	}
+	data, err := json.MarshalIndent(m, "", "  ")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode manifest")
+	}
+	data = append(data, '\n')
+	if len(data) > MaxValueBytes {
+		return nil, errors.Wrapf(ErrMalformed, "%d bytes", len(data))
+	}
+	return data, nil
+}
+
+func (m *Manifest) validate() error {
+	if m.Version == 0 || m.Version > MaxVersion {
+		return errors.Wrapf(ErrMalformed, "version %d is not from 1 to %d", m.Version, uint64(MaxVersion))
+	}
+	if err := m.validateChunks(); err != nil {
+		return err
+	}
+	if m.Hash != m.computeHash() {
+		return errors.Wrapf(ErrMalformed, "hash %.64q does not match the content", m.Hash)
+	}
+	return nil
+}
+
+func (m *Manifest) validateChunks() error {
+	if len(m.Chunks) == 0 || len(m.Chunks) > MaxChunks {
+		return errors.Wrapf(ErrMalformed, "%d chunks", len(m.Chunks))
+	}
+	seen := make(map[string]bool, len(m.Chunks))
+	total := 0
+	for _, c := range m.Chunks {
+		if !ValidHash(c.SHA256) || seen[c.SHA256] {
+			return errors.Wrapf(ErrMalformed, "chunk hash %.64q is invalid or repeated", c.SHA256)
+		}
+		if c.Size <= 0 || c.Size > MaxValueBytes {
+			return errors.Wrapf(ErrMalformed, "chunk %s of %d bytes", c.SHA256, c.Size)
+		}
+		seen[c.SHA256] = true
+		total += c.Size
+	}
+	if total > MaxBundleBytes {
+		return errors.Wrapf(ErrMalformed, "bundle of %d bytes exceeds %d", total, MaxBundleBytes)
+	}
+	return nil
+}
+
+// computeHash includes the version, because a damaged version number would
+// otherwise put the bundle at another place in the order.
+func (m *Manifest) computeHash() string {
+	var content bytes.Buffer
+	fmt.Fprintf(&content, "flamingohold manifest 1\n%d\n", m.Version)
+	for _, c := range m.Chunks {
+		fmt.Fprintf(&content, "%s %d\n", c.SHA256, c.Size)
+	}
+	return Describe(content.Bytes()).SHA256
+}
--- a/internal/version/service/service.go
+++ b/internal/version/service/service.go
@@ -37,6 +37,9 @@
 	// Slots names the places of the service's instances, to which opaque
 	// idempotency keys are mapped.
 	Slots []string `json:"slots,omitempty"`
+	// DataCentres names the data centres in which the instances run, none for
+	// any. Only the check command uses it.
+	DataCentres []string `json:"data_centres,omitempty"`
 	// ChecksFencing states that the upstream refuses an order with an old
 	// fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
