--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -288,3 +288,17 @@
 	verdict, _ := l.Offer(repetition, now)
 	require.Equal(t, ledger.Joined, verdict)
 }
+
+// Guards against an order that its owner can never place again because its
+// first attempt was revoked, and against a late copy of that attempt.
+func TestRevocationFreesTheKey(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := ledger.New("inc", 10, 100, now)
+	first := offer(l, "a1", "bakery", "k", "f", now)
+	l.Offer(first, now)
+	require.Equal(t, attempt.StateRevoked, l.Revoke("a1", l.Binding(now), now).State)
+	verdict, _ := l.Offer(offer(l, "a2", "bakery", "k", "f", now), now)
+	require.Equal(t, ledger.Accepted, verdict)
+	verdict, _ = l.Offer(first, now)
+	require.Equal(t, ledger.Revoked, verdict)
+}
--- a/internal/process/ledger/retention.go
+++ b/internal/process/ledger/retention.go
@@ -1,104 +1,157 @@
-package configuration
+package ledger
 
 import (
-	"slices"
+	"time"
 
-	"github.com/flamingohold/flamingohold/internal/version/account"
-	"github.com/flamingohold/flamingohold/internal/version/fleet"
-	"github.com/flamingohold/flamingohold/internal/version/service"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
 )
 
-// Configuration is one version of the configuration. It is never changed after
-// New, so that it can be shared without a lock.
-type Configuration struct {
-	// Version rises with each publication. Versions of equal number are ordered
-	// by Hash.
-	Version uint64
-	// Hash is the SHA-256 of the content in lower-case hex.
-	Hash     string
-	Fleet    fleet.Fleet
-	Services []service.Service
-	Accounts []account.Account
+// Forget drops what no copy and no repetition can refer to any more. The
+// lifetime is the time for which a key is honoured. It must be called regularly.
+func (l *Ledger) Forget(lifetime time.Duration, now time.Time) {
+	l.observe(now)
+	for i := range l.keys {
+		l.forgetKeys(&l.keys[i], lifetime, now)
+	}
+	for i := range l.attempts {
+		l.forgetAttempts(&l.attempts[i], now)
+	}
+}
 
-	// accountsByKey maps KeySHA256 to the index in Accounts.
-	accountsByKey map[string]int
+// forgetKeys drops keys together with their executors.
+func (l *Ledger) forgetKeys(s *keyShard, lifetime time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, executor := range s.executors {
+		if l.forgetExecutor(executor, lifetime, now) {
+			delete(s.executors, key)
+		}
+	}
 }
 
-// New returns a configuration with the given content, which must not be
-// changed afterwards.
-func New(version uint64, hash string, f fleet.Fleet, services []service.Service, accounts []account.Account) *Configuration {
-	c := &Configuration{
-		Version:       version,
-		Hash:          hash,
-		Fleet:         f,
-		Services:      services,
-		Accounts:      accounts,
-		accountsByKey: make(map[string]int, len(accounts)),
+func (l *Ledger) forgetExecutor(id string, lifetime time.Duration, now time.Time) bool {
+	s := l.attemptShard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.records[id].forgettable(lifetime+Window, now) {
+		return false
 	}
-	for i := range accounts {
-		c.accountsByKey[accounts[i].KeySHA256] = i
+	l.drop(s, id)
+	return true
+}
+
+func (l *Ledger) forgetAttempts(s *attemptShard, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.records {
+		if r.key == "" && r.forgettable(Window, now) {
+			l.drop(s, id)
+		}
 	}
-	return c
 }
 
-// AccountByKey returns the client account with the key, nil if there is none.
-// Only the hash of the key is compared.
-func (c *Configuration) AccountByKey(key string) *account.Account {
-	i, ok := c.accountsByKey[account.HashKey(key)]
-	if !ok {
-		return nil
+// drop needs the lock of the shard.
+func (l *Ledger) drop(s *attemptShard, id string) {
+	l.bytes.Add(-s.records[id].result.size())
+	l.records.Add(-1)
+	delete(s.records, id)
+}
+
+// forgettable reports whether the time has passed since the attempt was
+// settled. A record that joined an executor is never settled itself.
+func (r *record) forgettable(after time.Duration, now time.Time) bool {
+	if r.executor != "" {
+		return now.Sub(r.offeredAt) >= after
 	}
-	return &c.Accounts[i]
+	return r.final() && now.Sub(r.settledAt) >= after && now.Sub(r.offeredAt) >= after
+}
+
+// Entry is the record of one key in a hand-over.
+type Entry struct {
+	AttemptID   string `json:"attempt_id"`
+	Account     string `json:"account"`
+	Key         string `json:"key"`
+	Fingerprint string `json:"fingerprint"`
+	// State is done or lost.
+	State string `json:"state"`
+	// AgeMillis is the time since the attempt was settled. It is a duration, so
+	// that the clocks of the processes need not agree.
+	AgeMillis int64   `json:"age_ms"`
+	Result    *Result `json:"result,omitempty"`
 }
 
-// AccountByName returns the client account with the name, nil if there is none.
-func (c *Configuration) AccountByName(name string) *account.Account {
-	i := slices.IndexFunc(c.Accounts, func(a account.Account) bool { return a.Name == name })
-	if i < 0 {
-		return nil
+// Close refuses new attempts from now on and returns the keys that ran. Queued
+// attempts with a key are revoked, and running ones are handed over as lost.
+func (l *Ledger) Close(now time.Time) []Entry {
+	l.closed.Store(true)
+	var entries []Entry
+	for i := range l.keys {
+		entries = append(entries, l.exportKeys(&l.keys[i], now)...)
 	}
-	return &c.Accounts[i]
+	return entries
 }
 
-// Service returns the service with the name, nil if there is none.
-func (c *Configuration) Service(name string) *service.Service {
-	i := slices.IndexFunc(c.Services, func(s service.Service) bool { return s.Name == name })
-	if i < 0 {
-		return nil
+func (l *Ledger) exportKeys(s *keyShard, now time.Time) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var entries []Entry
+	for key, executor := range s.executors {
+		if e, ran := l.export(key, executor, now); ran {
+			entries = append(entries, e)
+		}
 	}
-	return &c.Services[i]
+	return entries
 }
 
-// ServiceForModel returns the engine service that offers the model, nil if
-// there is none.
-func (c *Configuration) ServiceForModel(model string) *service.Service {
-	i := slices.IndexFunc(c.Services, func(s service.Service) bool {
-		return s.Kind == service.KindEngine && s.HasModel(model)
-	})
-	if i < 0 {
-		return nil
+func (l *Ledger) export(key, executor string, now time.Time) (Entry, bool) {
+	s := l.attemptShard(executor)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[executor]
+	if r.state == attempt.StateQueued {
+		r.settle(attempt.StateRevoked, nil, now)
 	}
-	return &c.Services[i]
+	if r.state == attempt.StateRevoked {
+		return Entry{}, false
+	}
+	if r.state == attempt.StateRunning {
+		r.settle(attempt.StateLost, nil, now)
+	}
+	return Entry{
+		AttemptID: executor, Account: r.account, Key: key, Fingerprint: r.fingerprint,
+		State: r.state, AgeMillis: now.Sub(r.settledAt).Milliseconds(), Result: r.result,
+	}, true
 }
 
-// ServiceForRequest returns the plain service for the host and path, nil if
-// there is none.
-func (c *Configuration) ServiceForRequest(host, path string) *service.Service {
-	i := slices.IndexFunc(c.Services, func(s service.Service) bool {
-		return s.Kind == service.KindPlain && s.Matches(host, path)
-	})
-	if i < 0 {
-		return nil
+// Import takes the keys of the predecessor. It reports false if there is no
+// room for all of them; the ledger must then count as one without them.
+func (l *Ledger) Import(entries []Entry, now time.Time) bool {
+	for _, e := range entries {
+		if !l.importEntry(e, now) {
+			return false
+		}
 	}
-	return &c.Services[i]
+	return true
 }
 
-// Newer reports whether the bundle (version, hash) comes after this one in the
-// total order on which all processes agree. Any bundle is newer than a nil
-// configuration.
-func (c *Configuration) Newer(version uint64, hash string) bool {
-	if c == nil || version != c.Version {
-		return c == nil || version > c.Version
+func (l *Ledger) importEntry(e Entry, now time.Time) bool {
+	k := l.keyShard(e.Key)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, known := k.executors[e.Key]; known {
+		return true
+	}
+	s := l.attemptShard(e.AttemptID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.records[e.AttemptID]; known || !l.reserve() {
+		return false
 	}
-	return hash > c.Hash
+	r := newRecord(Offer{Account: e.Account, Fingerprint: e.Fingerprint}, l.observe(now))
+	r.key = e.Key
+	r.settle(e.State, e.Result, now.Add(-time.Duration(e.AgeMillis)*time.Millisecond))
+	l.bytes.Add(e.Result.size())
+	s.records[e.AttemptID] = r
+	k.executors[e.Key] = e.AttemptID
+	return true
 }
