Add the clients of the engine and the plain service

The client of the plain service opens a connection for each request. net/http repeats a request with an Idempotency-Key header by itself when a kept connection fails after the service has read it: with kept connections the service of the test saw an order twice.

--- /dev/null
+++ b/internal/connection/engine/engine_test.go
@@ -0,0 +1,126 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/engine"
+)
+
+// serve returns a client of a server that answers every request with the body.
+func serve(t *testing.T, body string) *engine.Client {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(server.Close)
+	return engine.New(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func event(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
+
+// Guards against repeated tokens, hidden gaps, and a cut stream that passes for
+// a whole one.
+func TestStreamChecksTokens(t *testing.T) {
+	for name, test := range map[string]struct {
+		body   string
+		tokens []string
+		err    error
+	}{
+		"whole":     {event(3, "1") + event(4, "2") + "data: [DONE]\n\n", []string{"1", "2"}, io.EOF},
+		"repeated":  {event(2, "0") + event(3, "1") + event(3, "1") + "data: [DONE]\n\n", []string{"1"}, io.EOF},
+		"gap":       {event(4, "1"), nil, engine.ErrGap},
+		"cut":       {event(3, "1") + "id: 4\ndata: 2", []string{"1"}, engine.ErrCut},
+		"error":     {event(3, "1") + "data: {\"error\":{}}\n\n", []string{"1"}, engine.ErrProtocol},
+		"lines":     {"id: 3\ndata: [1,\ndata: 2]\n\n", []string{"[1,2]"}, engine.ErrCut},
+		"not JSON":  {event(3, "{"), nil, engine.ErrProtocol},
+		"no number": {"data: 1\n\n", nil, engine.ErrProtocol},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream, err := serve(t, test.body).Resume(context.Background(), "g", 2)
+			require.NoError(t, err)
+			defer stream.Close()
+			for i, want := range test.tokens {
+				seq, data, err := stream.Next()
+				require.NoError(t, err)
+				require.EqualValues(t, 3+i, seq)
+				require.Equal(t, want, string(data))
+			}
+			_, _, err = stream.Next()
+			require.ErrorIs(t, err, test.err)
+		})
+	}
+}
+
+// Guards against waiting for ever on a connection that went silent.
+func TestSilentStreamIsGivenUp(t *testing.T) {
+	stop := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, event(1, "1"))
+		_ = http.NewResponseController(w).Flush()
+		<-stop
+	}))
+	defer server.Close()
+	defer close(stop)
+	stream, err := engine.New(strings.TrimPrefix(server.URL, "http://")).Resume(context.Background(), "g", 0)
+	require.NoError(t, err)
+	defer stream.Close()
+	_, _, err = stream.Next()
+	require.NoError(t, err)
+	_, _, err = stream.Next()
+	require.ErrorIs(t, err, engine.ErrSilent)
+}
+
+// Guards against an engine that cannot be asked for the generation again, and
+// against a caller's choice of the generation identifier.
+func TestStartSetsTheIdentity(t *testing.T) {
+	var fields map[string]any
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(&fields)
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = io.WriteString(w, "too long")
+	}))
+	defer server.Close()
+	client := engine.New(strings.TrimPrefix(server.URL, "http://"))
+	body := []byte(`{"request_id":"forged","stream":false,"prompt":"cake","seed":9007199254740993}`)
+	_, err := client.Start(context.Background(), "/v1/completions", body, "i.c.1", 3)
+	var refusal *engine.Refusal
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, http.StatusBadRequest, refusal.Status)
+	require.Equal(t, "too long", string(refusal.Body))
+	require.Equal(t, "i.c.1", fields["request_id"])
+	require.Equal(t, true, fields["stream"])
+	require.EqualValues(t, 3, fields["priority"])
+	require.Equal(t, "cake", fields["prompt"])
+	_, err = client.Start(context.Background(), "/v1/completions", []byte("null"), "i.c.1", 0)
+	require.Error(t, err)
+}
+
+// Guards against reading no load from an engine's metrics.
+func TestMetrics(t *testing.T) {
+	client := serve(t, `# TYPE vllm:num_requests_running gauge
+vllm:num_requests_running{model_name="a"} 2
+vllm:num_requests_running{model_name="b"} 3
+vllm:num_requests_waiting 1
+# TYPE vllm:kv_cache_usage_perc gauge
+vllm:kv_cache_usage_perc 0.5
+# TYPE vllm:num_preemptions_total counter
+vllm:num_preemptions_total 7
+# TYPE vllm:cache_config_info gauge
+vllm:cache_config_info{block_size="16",num_gpu_blocks="100"} 1
+process_start_time_seconds 1000.5
+`)
+	metrics, err := client.Metrics(context.Background())
+	require.NoError(t, err)
+	want := engine.Metrics{
+		Running: 5, Waiting: 1, UsedMemory: 0.5, Preemptions: 7, MemoryTokens: 1600, StartSeconds: 1000.5,
+	}
+	require.Equal(t, want, metrics)
+}
--- /dev/null
+++ b/internal/connection/upstream/upstream.go
@@ -0,0 +1,154 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// CallTimeout bounds a call. A service that takes longer counts as failed,
+	// and the outcome of the call as unknown.
+	CallTimeout = 120 * time.Second
+	// MaxAnswerBytes bounds an answer.
+	MaxAnswerBytes = 8 << 20
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a connection that
+	// went silent in about 25 s.
+	keepAliveIdle     = 10 * time.Second
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 3
+)
+
+var (
+	// ErrNotHanded is returned for a request that reached no connection, so that
+	// the service cannot have run it.
+	ErrNotHanded = errors.New("request was not handed to the service")
+	// ErrTooLarge is returned for an answer above MaxAnswerBytes. The service
+	// has run the request.
+	ErrTooLarge = errors.New("answer of the service is too large")
+)
+
+// Client talks to one plain service. It is safe for concurrent use.
+type Client struct {
+	address   string
+	transport *http.Transport
+}
+
+// New returns a client of the service at "ip:port". Each request has a new
+// connection: on a kept one that fails, the transport would repeat a request
+// with an Idempotency-Key header by itself, whether or not the service ran it.
+func New(address string) *Client {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return &Client{
+		address: address,
+		transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// Answer is the service's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call hands the request to the service and returns its whole answer. After an
+// error other than ErrNotHanded and ErrTooLarge, the service may have run it.
+func (c *Client) Call(ctx context.Context, r *attempt.Request) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	var handed atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { handed.Store(true) }}
+	request, err := c.request(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return Answer{}, errors.CombineErrors(ErrNotHanded, err)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil && !handed.Load() {
+		return Answer{}, errors.Wrapf(ErrNotHanded, "call service %s: %v", c.address, err)
+	}
+	if err != nil {
+		return Answer{}, errors.Wrapf(err, "call service %s", c.address)
+	}
+	return c.read(response)
+}
+
+func (c *Client) request(ctx context.Context, r *attempt.Request) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: c.address, Path: r.Path, RawQuery: r.Query}
+	var body io.Reader = http.NoBody
+	if len(r.Body) > 0 {
+		body = bytes.NewReader(r.Body)
+	}
+	request, err := http.NewRequestWithContext(ctx, r.Method, target.String(), body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address service %s", c.address)
+	}
+	request.Header = endToEnd(r.Header)
+	if host := r.Header.Get("Host"); host != "" {
+		request.Host = host
+		request.Header.Del("Host")
+	}
+	return request, nil
+}
+
+func (c *Client) read(response *http.Response) (Answer, error) {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, errors.Wrapf(err, "read answer of service %s", c.address)
+	}
+	if len(body) > MaxAnswerBytes {
+		return Answer{}, errors.Wrapf(ErrTooLarge, "call service %s", c.address)
+	}
+	return Answer{Status: response.StatusCode, Header: endToEnd(response.Header), Body: body}, nil
+}
+
+// Reachable reports whether the service accepts connections.
+func (c *Client) Reachable(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
+
+// endToEnd returns the header without the fields that concern one connection
+// (RFC 9110, section 7.6.1).
+func endToEnd(h http.Header) http.Header {
+	kept := h.Clone()
+	if kept == nil {
+		return http.Header{}
+	}
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length",
+	} {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/connection/upstream/upstream_test.go
@@ -0,0 +1,108 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/upstream"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+)
+
+func booking() *attempt.Request {
+	return &attempt.Request{
+		Method: http.MethodPost, Path: "/bookings", Query: "day=1",
+		Header: http.Header{"Idempotency-Key": {"k"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:   []byte("{}"),
+	}
+}
+
+// Guards against a second order that the HTTP library sends by itself when a
+// kept connection fails after the service has read the request.
+func TestBrokenConnectionIsNotRepeated(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	var requests atomic.Int32
+	go serveOncePerConnection(listener, &requests)
+	client := upstream.New(listener.Addr().String())
+	for _, method := range []string{http.MethodPost, http.MethodDelete} {
+		requests.Store(0)
+		request := booking()
+		request.Method = method
+		request.Body = nil
+		_, err = client.Call(context.Background(), request)
+		require.NoError(t, err)
+		request.Path = "/die"
+		_, err = client.Call(context.Background(), request)
+		require.Error(t, err)
+		require.NotErrorIs(t, err, upstream.ErrNotHanded)
+		require.EqualValues(t, 2, requests.Load())
+	}
+}
+
+// serveOncePerConnection answers requests and closes the connection after it
+// has read one for /die.
+func serveOncePerConnection(listener net.Listener, requests *atomic.Int32) {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = connection.Close() }()
+			reader := bufio.NewReader(connection)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				requests.Add(1)
+				if request.URL.Path == "/die" {
+					return
+				}
+				_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		}()
+	}
+}
+
+// Guards against "outcome unknown" for a request that no service can have seen.
+func TestUnreachableServiceWasNotHandedTheRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	client := upstream.New(address)
+	_, err = client.Call(context.Background(), booking())
+	require.ErrorIs(t, err, upstream.ErrNotHanded)
+	require.False(t, client.Reachable(context.Background()))
+}
+
+// Guards against a changed request or answer, and against header fields of one
+// connection that reach another.
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/bookings" || r.URL.RawQuery != "day=1" || r.Header.Get("X-Hop") != "" {
+			w.WriteHeader(http.StatusTeapot)
+			return
+		}
+		w.Header().Set("Location", "/bookings/7")
+		w.WriteHeader(http.StatusSeeOther)
+		_, _ = w.Write([]byte("booked"))
+	}))
+	defer server.Close()
+	client := upstream.New(strings.TrimPrefix(server.URL, "http://"))
+	answer, err := client.Call(context.Background(), booking())
+	require.NoError(t, err)
+	require.Equal(t, http.StatusSeeOther, answer.Status)
+	require.Equal(t, "/bookings/7", answer.Header.Get("Location"))
+	require.Equal(t, "booked", string(answer.Body))
+}
