Add the scenario harness and the first failure scripts

Cause: the guarantees need proofs under failure with real processes. Change: a testscript harness that starts a cluster on a loopback address of its own, with faulty links, and scripts for answers, orders, stops, moves and configuration.

--- /dev/null
+++ b/scenarios/call_test.go
@@ -0,0 +1,278 @@
+package scenarios_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/standin/engine"
+	"github.com/flamingohold/flamingohold/pkg/eventid"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	callTimeout   = 120 * time.Second
+	// resumeTries bounds the reconnections of one call.
+	resumeTries = 40
+	resumeDelay = 100 * time.Millisecond
+)
+
+// call is one request of a caller and what came back.
+type call struct {
+	// addresses are the gateways, tried in turn at each reconnection.
+	addresses []string
+	method    string
+	path      string
+	body      []byte
+	header    http.Header
+	prompt    string
+	// tokens is the expected length of the answer, 0 for none.
+	tokens int
+	// resume makes the caller reconnect with Last-Event-ID.
+	resume bool
+	// pause is how long the caller reads nothing after the first token.
+	pause  time.Duration
+	cancel context.CancelFunc
+	ended  chan struct{}
+
+	mu sync.Mutex
+	// received holds the events with a token.
+	received []event
+	status   int
+	finish   string
+	replayed string
+	answer   []byte
+	clean    bool
+	failure  *problem.Problem
+	broken   error
+}
+
+// event is a server-sent event with a token.
+type event struct{ id, text string }
+
+func (c *call) start() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	c.cancel = cancel
+	c.ended = make(chan struct{})
+	go func() {
+		defer close(c.ended)
+		c.run(ctx)
+	}()
+}
+
+func (c *call) run(ctx context.Context) {
+	for n := range resumeTries {
+		err := c.connect(ctx, c.addresses[n%len(c.addresses)])
+		c.mu.Lock()
+		c.broken = err
+		over := c.clean || c.failure != nil || !c.resume
+		c.mu.Unlock()
+		if over || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(resumeDelay)
+	}
+}
+
+func (c *call) connect(ctx context.Context, address string) error {
+	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, bytes.NewReader(c.body))
+	if err != nil {
+		return err
+	}
+	request.Header = c.header.Clone()
+	if last := c.lastEventID(); last != "" {
+		request.Header.Set("Last-Event-ID", last)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.mu.Lock()
+	c.status = response.StatusCode
+	c.mu.Unlock()
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		return c.readEvents(response.Body)
+	}
+	return c.readWhole(response)
+}
+
+func (c *call) lastEventID() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.received) == 0 {
+		return ""
+	}
+	return c.received[len(c.received)-1].id
+}
+
+func (c *call) readWhole(response *http.Response) error {
+	content, err := io.ReadAll(response.Body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer = content
+	c.replayed = response.Header.Get("Idempotency-Replayed")
+	if err != nil {
+		return err
+	}
+	if response.Header.Get("Content-Type") == problem.MediaType {
+		c.failure = new(problem.Problem)
+		return json.Unmarshal(content, c.failure)
+	}
+	c.clean = true
+	return nil
+}
+
+func (c *call) readEvents(body io.Reader) error {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventBytes)
+	var id, kind string
+	for scanner.Scan() {
+		name, value, _ := strings.Cut(scanner.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case "id":
+			id = value
+		case "event":
+			kind = value
+		case "data":
+			if err := c.takeData(kind, id, value); err != nil {
+				return err
+			}
+			kind = ""
+		}
+	}
+	return scanner.Err()
+}
+
+func (c *call) takeData(kind, id, data string) error {
+	if data == "[DONE]" {
+		c.mu.Lock()
+		c.clean = true
+		c.mu.Unlock()
+		return nil
+	}
+	if kind == "error" {
+		return c.takeError(data)
+	}
+	var chunk struct {
+		Choices []struct {
+			Text         string  `json:"text"`
+			FinishReason *string `json:"finish_reason"`
+			Delta        struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return errors.Wrapf(err, "data %q", data)
+	}
+	if len(chunk.Choices) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	if reason := chunk.Choices[0].FinishReason; reason != nil {
+		c.finish = *reason
+	}
+	text := chunk.Choices[0].Text + chunk.Choices[0].Delta.Content
+	first := len(c.received) == 0
+	if text != "" {
+		c.received = append(c.received, event{id, text})
+	}
+	c.mu.Unlock()
+	if first {
+		time.Sleep(c.pause)
+	}
+	return nil
+}
+
+// takeError reads an error event, whose data is a problem or an object with the
+// problem in the field error.
+func (c *call) takeError(data string) error {
+	var wrapped struct {
+		Error *problem.Problem `json:"error"`
+	}
+	p := new(problem.Problem)
+	if err := json.Unmarshal([]byte(data), p); err != nil {
+		return err
+	}
+	if json.Unmarshal([]byte(data), &wrapped) == nil && wrapped.Error != nil {
+		p = wrapped.Error
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failure = p
+	return nil
+}
+
+// count returns the number of tokens received so far.
+func (c *call) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.received)
+}
+
+// report describes the session without anything that differs between runs.
+func (c *call) report() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b strings.Builder
+	fmt.Fprintf(&b, "status %d\n", c.status)
+	if c.tokens > 0 {
+		fmt.Fprintf(&b, "tokens %s\n", c.judgeTokens())
+	}
+	if c.finish != "" {
+		fmt.Fprintf(&b, "finish %s\n", c.finish)
+	}
+	if c.replayed != "" {
+		fmt.Fprintf(&b, "replayed %s\n", c.replayed)
+	}
+	switch {
+	case c.failure != nil:
+		fmt.Fprintf(&b, "outcome %s retryable %t\n", c.failure.Outcome, c.failure.Retryable)
+	case c.clean:
+		b.WriteString("end clean\n")
+	default:
+		b.WriteString("end broken\n")
+	}
+	return b.String()
+}
+
+// judgeTokens checks that the tokens are those of one generation for this
+// prompt, each once and in order.
+func (c *call) judgeTokens() string {
+	generation := ""
+	for i, e := range c.received {
+		id, err := eventid.Parse(e.id)
+		if err != nil {
+			return fmt.Sprintf("without event id: %q", e.id)
+		}
+		if generation == "" {
+			generation = id.Generation
+		}
+		if id.Generation != generation {
+			return "of two generations"
+		}
+		if id.Token != uint64(i+1) || e.text != engine.TokenText(generation, c.prompt, i+1) {
+			return fmt.Sprintf("wrong at %d: event %s text %q", i+1, e.id, e.text)
+		}
+	}
+	if len(c.received) == c.tokens {
+		return "whole"
+	}
+	if len(c.received) > c.tokens {
+		return "too many"
+	}
+	return "partial, in order"
+}
--- /dev/null
+++ b/scenarios/scenarios_test.go
@@ -0,0 +1,73 @@
+package scenarios_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// clusterKey is the key of the script's cluster in its environment values.
+type clusterKey struct{}
+
+// Guards the guarantees of docs/design.md under the failures that the scripts
+// cause; docs/proofs.md lists which script guards which guarantee.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireUniqueNames:  true,
+		RequireExplicitExec: true,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"cluster":    startCluster,
+			"ask":        ask,
+			"order":      order,
+			"mint":       mint,
+			"received":   awaitReceived,
+			"answer":     printAnswer,
+			"cancel":     cancelCall,
+			"kill":       kill,
+			"freeze":     freeze,
+			"thaw":       thaw,
+			"stop":       stop,
+			"stopped":    awaitStopped,
+			"restart":    restart,
+			"link":       changeLink,
+			"engine":     injectEngineFault,
+			"plain":      injectPlainFault,
+			"idle":       awaitIdle,
+			"datacentre": setDataCentre,
+			"instance":   setInstance,
+			"platform":   setPlatform,
+			"publish":    publishNext,
+			"inforce":    awaitInForce,
+			"executions": checkExecutions,
+			"refuses":    awaitRefusal,
+			"request":    plainRequest,
+		},
+		Setup: func(e *testscript.Env) error {
+			e.Values[clusterKey{}] = new(cluster)
+			e.Defer(func() {
+				if c, ok := e.Values[clusterKey{}].(*cluster); ok && c.directory != "" {
+					saveLogs(t, c)
+					c.close()
+				}
+			})
+			return nil
+		},
+	})
+}
+
+// saveLogs copies the process logs to the folder in SCENARIO_LOGS, for reading
+// after a failure.
+func saveLogs(t *testing.T, c *cluster) {
+	target := os.Getenv("SCENARIO_LOGS")
+	if target == "" {
+		return
+	}
+	target = filepath.Join(target, filepath.Base(filepath.Dir(c.directory))+"-"+strings.ReplaceAll(c.ip, ".", "-"))
+	if err := os.CopyFS(target, os.DirFS(c.directory)); err != nil {
+		t.Logf("save logs: %v", err)
+	}
+}
