Add the example deployments and the tool that starts, shows and stops them

The deployment starts each process for itself, identifies it by process id and start time, and stops gateways, sidecars and stand-ins in this order.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -22,18 +22,19 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := runCommand(ctx, os.Args[1:]); err != nil {
+	if err := execute(ctx, os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
 }
 
-// runCommand parses the arguments and runs the subcommand that they name.
-func runCommand(ctx context.Context, arguments []string) error {
+// execute parses the arguments and runs the subcommand that they name.
+func execute(ctx context.Context, arguments []string) error {
 	parser := flaggy.NewParser("standin")
 	parser.Description = "Stand-ins of the platform and the upstreams, local deployments, load tool"
 	commands := []command{
 		newEngineCommand(), &plainCommand{}, newPlatformCommand(), &publishCommand{},
+		&runCommand{}, &upCommand{}, &downCommand{},
 	}
 	subcommands := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
--- /dev/null
+++ b/internal/standin/caller/caller_test.go
@@ -0,0 +1,55 @@
+package caller_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/standin/caller"
+	"github.com/flamingohold/flamingohold/internal/standin/engine"
+)
+
+// event returns one chunk as the gateway sends it.
+func event(requestID, prompt string, number int) string {
+	return fmt.Sprintf("id: g:%d\ndata: {\"choices\":[{\"text\":%q}]}\n\n",
+		number, engine.TokenText(requestID, prompt, number))
+}
+
+const (
+	usage = "data: {\"choices\":[{\"text\":\"\"}],\"usage\":{\"completion_tokens\":3}}\n\n"
+	done  = "data: [DONE]\n\n"
+)
+
+// Guards against a load run that calls a damaged answer correct.
+func TestStreamFindsFaults(t *testing.T) {
+	good := event("r", "p", 1) + event("r", "p", 2)
+	for name, test := range map[string]struct {
+		stream    string
+		want      caller.Faults
+		truncated bool
+	}{
+		"complete":  {good + usage + done, caller.Faults{}, false},
+		"lost":      {event("r", "p", 1) + event("r", "p", 3) + done, caller.Faults{Lost: 1}, true},
+		"doubled":   {good + event("r", "p", 2) + usage + done, caller.Faults{Doubled: 1}, false},
+		"crossed":   {good + event("r", "other", 3) + usage + done, caller.Faults{Crossed: true}, false},
+		"mixed":     {good + event("r2", "p", 3) + usage + done, caller.Faults{Mixed: true}, false},
+		"truncated": {event("r", "p", 1) + usage + done, caller.Faults{}, true},
+		"broken":    {good, caller.Faults{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = fmt.Fprint(w, test.stream)
+			}))
+			defer server.Close()
+			target := caller.Target{Gateway: strings.TrimPrefix(server.URL, "http://")}
+			answer, err := caller.New().Stream(t.Context(), target, caller.Prompt{Text: "p"}, nil)
+			require.NoError(t, err)
+			require.Equal(t, test.want, answer.Faults)
+			require.Equal(t, test.truncated, answer.Truncated())
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/deployment/plan.go
@@ -0,0 +1,190 @@
+package deployment
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+)
+
+const (
+	traceFolder    = "traces"
+	logFolder      = "logs"
+	settingsFolder = "settings"
+	bundleFolder   = "bundle"
+	secretName     = "peer_secret"
+	instancesName  = "instances.json"
+)
+
+// planner lays out the processes of a deployment.
+type planner struct {
+	spec    Spec
+	options Options
+	ports   *portAllocator
+	peers   []string
+	plan    *plan
+}
+
+// plan is the content of the file processes.json in the run folder.
+type plan struct {
+	Spec      Spec                `json:"spec"`
+	Platform  string              `json:"platform"`
+	Gateways  []string            `json:"gateways"`
+	Instances []instance.Instance `json:"instances"`
+	Processes []*Process          `json:"processes"`
+}
+
+// build allocates addresses and writes the settings files.
+func (p *planner) build() error {
+	if err := p.planPlatform(); err != nil {
+		return err
+	}
+	for i := range p.spec.Engines {
+		if err := p.planInstance(p.spec.EngineService, i); err != nil {
+			return err
+		}
+	}
+	for i := range p.spec.Plains {
+		if err := p.planInstance(p.spec.PlainService, i); err != nil {
+			return err
+		}
+	}
+	for i := range p.spec.Gateways {
+		if err := p.planGateway(i); err != nil {
+			return err
+		}
+	}
+	return writeJSON(p.path(instancesName), p.plan.Instances)
+}
+
+func (p *planner) path(elements ...string) string {
+	return filepath.Join(append([]string{p.options.Folder}, elements...)...)
+}
+
+func (p *planner) planPlatform() error {
+	address, err := p.ports.address()
+	if err != nil {
+		return err
+	}
+	p.plan.Platform = address
+	p.add(&Process{
+		Name: "platform", Tier: tierUpstream, Program: p.program("standin"), Address: address,
+		Arguments: []string{
+			"platform", "--address", address, "--instances", p.path(instancesName),
+			"--lag", p.options.InstanceListLag.String(),
+		},
+	})
+	for range p.spec.Gateways {
+		peer, err := p.ports.address()
+		if err != nil {
+			return err
+		}
+		p.peers = append(p.peers, peer)
+	}
+	return nil
+}
+
+func (p *planner) program(name string) string { return filepath.Join(p.options.Programs, name) }
+
+func (p *planner) add(process *Process) { p.plan.Processes = append(p.plan.Processes, process) }
+
+// planInstance adds an upstream and the sidecar beside it.
+func (p *planner) planInstance(service string, i int) error {
+	slot := fmt.Sprintf("%s-%d", service, i+1)
+	upstream, err := p.ports.address()
+	if err != nil {
+		return err
+	}
+	s := p.commonSettings("sidecar-"+slot, p.spec.dataCentre(i))
+	if err := p.allocate(&s.PeerAddress, &s.AdminAddress); err != nil {
+		return err
+	}
+	s.Service = service
+	s.Instance = slot
+	s.Slot = slot
+	s.SlotIncarnation = 1
+	s.UpstreamAddress = upstream
+	p.plan.Instances = append(p.plan.Instances, instance.Instance{
+		Name: slot, Service: service, Slot: slot, DataCentre: s.DataCentre, Region: s.Region,
+		UpstreamAddress: upstream, SidecarAddress: s.PeerAddress, Incarnation: 1, State: instance.StateLive,
+	})
+	p.add(&Process{
+		Name: slot, Tier: tierUpstream, Program: p.program("standin"), Address: upstream,
+		Arguments: p.upstreamArguments(service, slot, upstream),
+	})
+	return p.addSystemProcess("sidecar", tierSidecar, s)
+}
+
+func (p *planner) upstreamArguments(service, name, address string) []string {
+	if service == p.spec.PlainService {
+		return []string{"plain", "--address", address, "--name", name, "--delay", p.options.PlainDelay.String()}
+	}
+	arguments := []string{
+		"engine", "--address", address, "--name", name, "--model", p.spec.Model,
+		"--slowdown", fmt.Sprint(p.options.Slowdown), "--weight-store", p.plan.Platform,
+	}
+	if p.spec.ChecksFencing {
+		arguments = append(arguments, "--fencing")
+	}
+	if p.options.StartWarm {
+		arguments = append(arguments, "--warm")
+	}
+	return arguments
+}
+
+func (p *planner) planGateway(i int) error {
+	s := p.commonSettings(fmt.Sprintf("gateway-%d", i+1), p.spec.dataCentre(i))
+	s.PeerAddress = p.peers[i]
+	if err := p.allocate(&s.CallerAddress, &s.AdminAddress); err != nil {
+		return err
+	}
+	p.plan.Gateways = append(p.plan.Gateways, s.CallerAddress)
+	return p.addSystemProcess("gateway", tierGateway, s)
+}
+
+func (p *planner) commonSettings(name, dataCentre string) *settings.Settings {
+	return &settings.Settings{
+		Name:                 name,
+		DataCentre:           dataCentre,
+		Region:               p.spec.Region,
+		PeerSecretFile:       p.path(secretName),
+		ConfigurationService: p.plan.Platform,
+		InstanceList:         p.plan.Platform,
+		GatewayPeers:         p.peers,
+		TraceFile:            p.traceFile(name),
+		ShutdownNoticeMillis: int(p.options.ShutdownNotice.Milliseconds()),
+	}
+}
+
+func (p *planner) traceFile(name string) string {
+	if !p.options.Trace {
+		return ""
+	}
+	return p.path(traceFolder, name+".jsonl")
+}
+
+func (p *planner) allocate(addresses ...*string) error {
+	for _, a := range addresses {
+		address, err := p.ports.address()
+		if err != nil {
+			return err
+		}
+		*a = address
+	}
+	return nil
+}
+
+// addSystemProcess writes the settings and adds the process that reads them.
+func (p *planner) addSystemProcess(role string, tier int, s *settings.Settings) error {
+	file := p.path(settingsFolder, s.Name+".json")
+	if err := writeJSON(file, s); err != nil {
+		return err
+	}
+	p.add(&Process{
+		Name: s.Name, Tier: tier, Program: p.program("flamingohold"),
+		Arguments: []string{role, "--settings", file},
+		Address:   s.PeerAddress, AdminAddress: s.AdminAddress,
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/standin/deployment/process.go
@@ -0,0 +1,110 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Tiers of processes, in the order in which they are stopped.
+const (
+	tierGateway = iota
+	tierSidecar
+	tierUpstream
+	tierCount
+)
+
+const exitPollInterval = 20 * time.Millisecond
+
+// Process is one process of a deployment.
+type Process struct {
+	Name string `json:"name"`
+	Tier int    `json:"tier"`
+	// Program and Arguments start the process.
+	Program   string   `json:"program"`
+	Arguments []string `json:"arguments"`
+	// Address is probed to learn whether the process serves; AdminAddress is
+	// empty for stand-ins.
+	Address      string `json:"address"`
+	AdminAddress string `json:"admin_address,omitempty"`
+	PID          int    `json:"pid"`
+	// StartTime is the process's start in clock ticks since boot. With the PID
+	// it identifies the process even when the PID is used again.
+	StartTime string `json:"start_time"`
+}
+
+// start runs the process with its output in the log folder.
+func (p *Process) start(logs string) error {
+	file, err := os.OpenFile(filepath.Join(logs, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer func() { _ = file.Close() }()
+	command := exec.Command(p.Program, p.Arguments...)
+	command.Stdout = file
+	command.Stderr = file
+	// The process must not receive an interrupt of the terminal, because the
+	// tool stops the processes in order.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := command.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", p.Name)
+	}
+	p.PID = command.Process.Pid
+	p.StartTime, err = startTime(p.PID)
+	if err != nil {
+		return errors.Wrapf(err, "identify %s", p.Name)
+	}
+	go func() { _ = command.Wait() }()
+	return nil
+}
+
+// startTime returns field 22 of /proc/PID/stat. The fields are counted after
+// the name, which is in parentheses and may hold spaces. A zombie counts as
+// ended.
+func startTime(pid int) (string, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return "", err
+	}
+	text := string(content)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	const stateField, startField = 0, 19
+	if len(fields) <= startField || fields[stateField] == "Z" {
+		return "", errors.Newf("process %d has ended", pid)
+	}
+	return fields[startField], nil
+}
+
+// Running reports whether the process still runs.
+func (p *Process) Running() bool {
+	if p.PID == 0 {
+		return false
+	}
+	t, err := startTime(p.PID)
+	return err == nil && t == p.StartTime
+}
+
+// Signal sends the signal if the process still runs.
+func (p *Process) Signal(s syscall.Signal) error {
+	if !p.Running() {
+		return nil
+	}
+	return errors.Wrapf(syscall.Kill(p.PID, s), "signal %s", p.Name)
+}
+
+// await reports whether the process ends before the deadline.
+func (p *Process) await(deadline time.Time) bool {
+	for p.Running() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(exitPollInterval)
+	}
+	return true
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 )
 
 // fault is the body of POST /admin/fault. Absent fields change nothing.
@@ -17,6 +18,8 @@
 	Cold bool `json:"cold"`
 	// Slow multiplies the step time, 1 to end the fault.
 	Slow float64 `json:"slow"`
+	// Reset cancels all sequences.
+	Reset bool `json:"reset"`
 }
 
 func (e *Engine) handleFault(w http.ResponseWriter, r *http.Request) {
@@ -44,6 +47,19 @@
 	if f.Slow > 0 {
 		e.slow = f.Slow
 	}
+	if f.Reset {
+		e.cancelAll(time.Now())
+	}
+}
+
+// cancelAll ends all sequences. The engine's lock is held.
+func (e *Engine) cancelAll(now time.Time) {
+	for _, s := range e.sequences {
+		if s.finished.IsZero() {
+			s.reason = finishCancelled
+			e.finish(s, now)
+		}
+	}
 }
 
 func (e *Engine) setFrozen(frozen bool) {
--- a/internal/standin/engine/output.go
+++ b/internal/standin/engine/output.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -39,9 +40,21 @@
 	return max(1, (len(prompt)+bytesPerToken-1)/bytesPerToken)
 }
 
+// lengthMark is the part of a prompt with which a test or a load tool sets the
+// output length without telling the system in between.
+var lengthMark = regexp.MustCompile(`\[tokens=(\d{1,6})\]`)
+
+// LengthMark returns the text that sets the output length of a prompt.
+func LengthMark(tokens int) string { return fmt.Sprintf("[tokens=%d]", tokens) }
+
 // OutputLength returns the length in tokens of the output for the prompt if the
-// request sets no max_tokens. It depends only on the prompt and is log-normal.
+// request sets no max_tokens. It is the prompt's length mark or else log-normal,
+// and depends only on the prompt.
 func OutputLength(prompt string) int {
+	if mark := lengthMark.FindStringSubmatch(prompt); mark != nil {
+		n, _ := strconv.Atoi(mark[1])
+		return max(1, n)
+	}
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(prompt), 0))
 	mu := math.Log(meanOutputTokens) - outputSigma*outputSigma/2
 	return max(1, int(math.Exp(mu+outputSigma*random.NormFloat64())))
--- /dev/null
+++ b/internal/standin/spantree/spantree.go
@@ -0,0 +1,132 @@
+package spantree
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	maxLineBytes = 1 << 20
+	processKey   = "service.instance.id"
+)
+
+// Tree holds the spans of one trace.
+type Tree struct {
+	spans []span
+}
+
+// span is one line of the OpenTelemetry stdout exporter.
+type span struct {
+	Name        string
+	SpanContext identity
+	Parent      identity
+	StartTime   time.Time
+	EndTime     time.Time
+	Attributes  []attribute
+	Resource    []attribute
+}
+
+type identity struct {
+	TraceID string
+	SpanID  string
+}
+
+type attribute struct {
+	Key   string
+	Value struct{ Value any }
+}
+
+// Read collects the spans of the trace from the files *.jsonl in the folder.
+func Read(folder, traceID string) (*Tree, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.jsonl"))
+	if err != nil {
+		return nil, errors.Wrap(err, "list span files")
+	}
+	t := new(Tree)
+	for _, file := range files {
+		if err := t.readFile(file, traceID); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(t.spans, func(a, b span) int { return a.StartTime.Compare(b.StartTime) })
+	return t, nil
+}
+
+func (t *Tree) readFile(path, traceID string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open span file")
+	}
+	defer func() { _ = file.Close() }()
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), traceID) {
+			continue
+		}
+		var s span
+		if err := json.Unmarshal(scanner.Bytes(), &s); err != nil {
+			// The exporter may be writing the last line.
+			continue
+		}
+		t.spans = append(t.spans, s)
+	}
+	return errors.Wrapf(scanner.Err(), "read %s", path)
+}
+
+// Processes returns the number of processes that took part.
+func (t *Tree) Processes() int {
+	names := map[string]bool{}
+	for _, s := range t.spans {
+		names[s.process()] = true
+	}
+	return len(names)
+}
+
+func (s *span) process() string {
+	for _, a := range s.Resource {
+		if a.Key == processKey {
+			return fmt.Sprint(a.Value.Value)
+		}
+	}
+	return "?"
+}
+
+// Print writes one line a span, each under the span that caused it.
+func (t *Tree) Print(w io.Writer) {
+	known := map[string]bool{}
+	for _, s := range t.spans {
+		known[s.SpanContext.SpanID] = true
+	}
+	for i := range t.spans {
+		if !known[t.spans[i].Parent.SpanID] {
+			t.printFrom(w, &t.spans[i], t.spans[i].StartTime, 1)
+		}
+	}
+}
+
+func (t *Tree) printFrom(w io.Writer, s *span, start time.Time, depth int) {
+	var attributes strings.Builder
+	for _, a := range s.Attributes {
+		fmt.Fprintf(&attributes, " %s=%v", a.Key, a.Value.Value)
+	}
+	label := strings.Repeat("  ", depth) + s.process() + ": " + s.Name
+	_, _ = fmt.Fprintf(w, "%-52s +%8.2f ms %9.2f ms%s\n", label, millis(s.StartTime.Sub(start)),
+		millis(s.EndTime.Sub(s.StartTime)), attributes.String())
+	for i := range t.spans {
+		if t.spans[i].Parent.SpanID == s.SpanContext.SpanID {
+			t.printFrom(w, &t.spans[i], start, depth+1)
+		}
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
