Add the load tool, its scenarios and the report

Arrivals are open-loop, seeded and equal for all policies; latencies count from the intended send time. Each answer is checked token by token against the engine's known output, and each order against the counts of the plain services.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 down: ## Stops gracefully what make up started.
 	$(BIN)/standin down
+
+bench: build ## Loads deployments of the real sizes and writes bench/report.md and bench/report.html.
+	$(BIN)/standin load --dir examples $(BENCH)
--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -63,7 +63,6 @@
 	return deployment.Options{
 		Programs:        filepath.Dir(self),
 		Folder:          filepath.Join(f.folder, name),
-		Slowdown:        1,
 		PlainDelay:      plainDelay,
 		InstanceListLag: listLag,
 		ShutdownNotice:  shutdownNotice,
--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/flamingohold/flamingohold/internal/standin/benchmark"
+	"github.com/flamingohold/flamingohold/internal/standin/benchreport"
+)
+
+const (
+	// The defaults of a quick run keep both deployments together under two
+	// minutes.
+	quickDuration = 8 * time.Second
+	quickDrain    = 5 * time.Second
+	quickPreheat  = 4 * time.Second
+)
+
+// loadCommand runs the benchmark.
+type loadCommand struct {
+	deploymentFlags
+	quick                    bool
+	only                     string
+	scenarios, policies      string
+	duration, drain, preheat time.Duration
+	seed                     uint64
+	memoryTokens             int
+	out                      string
+	engines, gateways        int
+}
+
+func (c *loadCommand) attach(parser *flaggy.Parser) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand("load")
+	s.Description = "Send load to deployments of the real sizes and write a report"
+	c.deploymentFlags.attach(s)
+	c.folder = "run-bench"
+	c.out = "bench"
+	c.scenarios = strings.Join(benchmark.ScenarioNames(), ",")
+	c.policies = strings.Join(benchmark.PolicyNames(), ",")
+	c.duration, c.drain, c.preheat = 30*time.Second, 20*time.Second, 8*time.Second
+	c.seed = 1
+	c.memoryTokens = 6000
+	s.Bool(&c.quick, "q", "quick", "short scenarios steady_80 and burst, policies full and power_of_two")
+	s.String(&c.only, "", "only", "name of the only deployment to load")
+	s.String(&c.scenarios, "", "scenarios", "scenarios, separated by commas")
+	s.String(&c.policies, "", "policies", "policies, separated by commas")
+	s.Duration(&c.duration, "", "duration", "duration of the arrivals of each scenario")
+	s.Duration(&c.drain, "", "drain", "longest wait for the last answers")
+	s.Duration(&c.preheat, "", "preheat", "time of a small load before each scenario")
+	s.UInt64(&c.seed, "", "seed", "seed of the arrivals")
+	s.Int(&c.memoryTokens, "", "memory-tokens", "block memory of each engine")
+	s.String(&c.out, "o", "out", "folder for the report")
+	s.Int(&c.engines, "", "engines", "number of engines instead of the real one")
+	s.Int(&c.gateways, "", "gateways", "number of gateways instead of the real one")
+	parser.AttachSubcommand(s, 1)
+	return s
+}
+
+func (c *loadCommand) run(ctx context.Context) error {
+	if c.quick {
+		c.scenarios, c.policies = "steady_80,burst", "full,power_of_two"
+		c.duration, c.drain, c.preheat = quickDuration, quickDrain, quickPreheat
+	}
+	options, err := c.benchmarkOptions()
+	if err != nil {
+		return err
+	}
+	b, err := benchmark.New(options)
+	if err != nil {
+		return err
+	}
+	measurements, runError := b.Run(ctx)
+	violations := 0
+	for _, m := range measurements {
+		violations += m.Result.Violations()
+	}
+	if violations > 0 {
+		runError = errors.CombineErrors(runError, errors.Newf("%d violations of guarantees, see the report", violations))
+	}
+	return errors.CombineErrors(runError, c.write(measurements))
+}
+
+func (c *loadCommand) benchmarkOptions() (benchmark.Options, error) {
+	specs, err := c.specs()
+	if err != nil {
+		return benchmark.Options{}, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return benchmark.Options{}, errors.Wrap(err, "find programs")
+	}
+	options := benchmark.Options{
+		Programs: filepath.Dir(self), Folder: c.folder,
+		Scenarios: strings.Split(c.scenarios, ","), Policies: strings.Split(c.policies, ","),
+		Duration: c.duration, Drain: c.drain, Preheat: c.preheat,
+		Seed: c.seed, MemoryTokens: c.memoryTokens, Progress: os.Stdout,
+	}
+	for _, spec := range specs {
+		if c.only != "" && spec.Name != c.only {
+			continue
+		}
+		if c.engines > 0 {
+			spec.Engines = c.engines
+		}
+		if c.gateways > 0 {
+			spec.Gateways = c.gateways
+		}
+		options.Specs = append(options.Specs, spec)
+	}
+	return options, nil
+}
+
+// notes describe the conditions of the run for the report.
+func (c *loadCommand) notes() []string {
+	return []string{
+		fmt.Sprintf("Seed %d; each scenario has arrivals for %s after %s of a small load, then at most %s for the last answers.",
+			c.seed, c.duration, c.preheat, c.drain),
+		fmt.Sprintf("Engines are stand-ins with %d tokens of block memory; times per step follow published figures for "+
+			"OPT-13B on one A100 (internal/standin/engine/profile.go).", c.memoryTokens),
+		"Latencies count from the intended send time. Loads are fractions of the computed capacity of the warm engines.",
+		"Stall time is the part of each gap between two tokens above 200 ms; its share is relative to the total time of the answers.",
+		"Policy full has every mechanism; the others have that routing rule and no admission mechanism.",
+		fmt.Sprintf("All processes ran on one machine with %d processors, together with the load tool.", runtime.NumCPU()),
+	}
+}
+
+func (c *loadCommand) write(measurements []benchmark.Measurement) error {
+	if err := os.MkdirAll(c.out, 0o750); err != nil {
+		return errors.Wrap(err, "create report folder")
+	}
+	report := benchreport.New(measurements, c.notes())
+	if err := writeFile(filepath.Join(c.out, "report.md"), report.WriteMarkdown); err != nil {
+		return err
+	}
+	if err := writeFile(filepath.Join(c.out, "report.html"), report.WriteHTML); err != nil {
+		return err
+	}
+	fmt.Println("report in", c.out)
+	return nil
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create report")
+	}
+	return errors.CombineErrors(write(file), file.Close())
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -34,7 +34,7 @@
 	parser.Description = "Stand-ins of the platform and the upstreams, local deployments, load tool"
 	commands := []command{
 		newEngineCommand(), &plainCommand{}, newPlatformCommand(), &publishCommand{},
-		&runCommand{}, &upCommand{}, &downCommand{},
+		&runCommand{}, &upCommand{}, &downCommand{}, &loadCommand{},
 	}
 	subcommands := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
--- /dev/null
+++ b/internal/standin/benchmark/session.go
@@ -0,0 +1,247 @@
+package benchmark
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/standin/deployment"
+	"github.com/flamingohold/flamingohold/internal/standin/engine"
+	"github.com/flamingohold/flamingohold/internal/standin/loadgen"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+)
+
+const (
+	preheatLoad = 0.4
+	// idleTimeout bounds the wait for running answers between two scenarios.
+	idleTimeout = 10 * time.Second
+	idlePoll    = 200 * time.Millisecond
+	maxRequests = 200_000
+)
+
+// session is one deployment under one policy.
+type session struct {
+	benchmark  *Benchmark
+	deployment *deployment.Deployment
+	generator  *loadgen.Generator
+	example    string
+	policy     fleet.Policy
+	files      string
+	profile    engine.Profile
+}
+
+// fault is the part of an engine's fault that the scenarios use.
+type fault struct {
+	Cold  bool `json:"cold,omitempty"`
+	Reset bool `json:"reset,omitempty"`
+}
+
+// engineState is the part of an engine's state that the scenarios use.
+type engineState struct {
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	Preemptions uint64 `json:"preemptions"`
+}
+
+func (s *session) engines() []instance.Instance {
+	var engines []instance.Instance
+	for _, i := range s.deployment.Instances() {
+		if i.Service == s.deployment.Spec().EngineService {
+			engines = append(engines, i)
+		}
+	}
+	return engines
+}
+
+// publish puts the session's policy into force with the given data centres out
+// of service.
+func (s *session) publish(ctx context.Context, outOfService []string) error {
+	if err := writeFiles(s.example, s.files, s.policy, outOfService); err != nil {
+		return err
+	}
+	return s.deployment.PublishFolder(ctx, s.files)
+}
+
+// shape returns the load of the scenario.
+func (s *session) shape(c scenario, seed uint64, duration time.Duration) loadgen.Shape {
+	shape := loadgen.Shape{
+		Seed:          seed,
+		Duration:      duration,
+		Shares:        s.shares(),
+		Lengths:       loadgen.Lengths{Mean: meanOutput, Sigma: ordinarySigma, Max: maxOutput},
+		PromptTokens:  promptTokens,
+		ReadFraction:  readFraction,
+		OrderFraction: orderFraction,
+		MaxRequests:   maxRequests,
+	}
+	prompts := capacity(s.profile, shape.Lengths, promptTokens) * float64(len(s.engines())) * c.load
+	rate := prompts / (1 - readFraction - orderFraction)
+	shape.MaxRate = rate
+	shape.Rate = func(time.Duration) float64 { return rate }
+	if c.shape != nil {
+		c.shape(&shape)
+	}
+	return shape
+}
+
+// shares gives the first two accounts half of the load together, the last one a
+// small part, and the others equal parts.
+func (s *session) shares() []loadgen.Share {
+	names := s.benchmark.accounts[s.example]
+	shares := make([]loadgen.Share, len(names))
+	for i, name := range names {
+		weight := 1.0
+		switch {
+		case i < 2:
+			weight = 4
+		case i == len(names)-1:
+			weight = 0.25
+		}
+		shares[i] = loadgen.Share{Account: name, Weight: weight}
+	}
+	return shares
+}
+
+// preheat sends a small load that is not recorded, so that a scenario does not
+// begin with the cold values of the sidecars.
+func (s *session) preheat(ctx context.Context, seed uint64) error {
+	duration := s.benchmark.options.Preheat
+	shape := s.shape(scenario{load: preheatLoad}, seed, duration)
+	_, err := s.generator.Run(ctx, loadgen.Schedule(shape), duration, duration)
+	return err
+}
+
+// run runs one scenario and returns its measurement.
+func (s *session) run(ctx context.Context, c scenario) (*Measurement, error) {
+	if err := s.preheat(ctx, s.benchmark.options.Seed+1); err != nil {
+		return nil, errors.Wrap(err, "preheat")
+	}
+	before, err := s.states(ctx)
+	if err != nil {
+		return nil, err
+	}
+	duration := s.benchmark.options.Duration
+	actionsDone := s.startActions(ctx, c, duration)
+	shape := s.shape(c, s.benchmark.options.Seed, duration)
+	result, err := s.generator.Run(ctx, loadgen.Schedule(shape), duration, s.benchmark.options.Drain)
+	if err = errors.CombineErrors(err, <-actionsDone); err != nil {
+		return nil, err
+	}
+	after, err := s.states(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &Measurement{Scenario: c.name, Result: result, Preemptions: preemptions(before, after)}, s.settle(ctx)
+}
+
+// startActions runs the scenario's disturbances at their times.
+func (s *session) startActions(ctx context.Context, c scenario, duration time.Duration) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		start := time.Now()
+		var failure error
+		for _, a := range c.actions {
+			time.Sleep(time.Until(start.Add(time.Duration(a.at * float64(duration)))))
+			failure = errors.CombineErrors(failure, a.run(ctx, s))
+		}
+		done <- failure
+	}()
+	return done
+}
+
+// preemptions sums the growth of each engine's counter. A restarted engine
+// counts from 0.
+func preemptions(before, after []engineState) int {
+	n := 0
+	for i := range after {
+		if after[i].Preemptions >= before[i].Preemptions {
+			n += int(after[i].Preemptions - before[i].Preemptions)
+		} else {
+			n += int(after[i].Preemptions)
+		}
+	}
+	return n
+}
+
+// settle waits until the engines are idle and then cancels what still runs.
+func (s *session) settle(ctx context.Context) error {
+	deadline := time.Now().Add(idleTimeout)
+	for time.Now().Before(deadline) {
+		states, err := s.states(ctx)
+		if err != nil {
+			return err
+		}
+		busy := 0
+		for _, state := range states {
+			busy += state.Running + state.Waiting
+		}
+		if busy == 0 {
+			return nil
+		}
+		time.Sleep(idlePoll)
+	}
+	for _, i := range s.engines() {
+		if err := postFault(ctx, i.UpstreamAddress, fault{Reset: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// states reads all engines' states.
+func (s *session) states(ctx context.Context) ([]engineState, error) {
+	engines := s.engines()
+	states := make([]engineState, len(engines))
+	failures := make([]error, len(engines))
+	var wait sync.WaitGroup
+	for i, e := range engines {
+		wait.Go(func() { failures[i] = getState(ctx, e.UpstreamAddress, &states[i]) })
+	}
+	wait.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return states, nil
+}
+
+func getState(ctx context.Context, address string, state *engineState) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/admin/state", http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "create request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "read state of %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(state), "decode state of %s", address)
+}
+
+func postFault(ctx context.Context, address string, f fault) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return errors.Wrap(err, "encode fault")
+	}
+	url := "http://" + address + "/admin/fault"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "create request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "inject fault into %s", address)
+	}
+	return response.Body.Close()
+}
+
+// filesFolder returns the place of a session's changed operators' files.
+func filesFolder(runFolder string) string { return filepath.Join(runFolder, "operators_files") }
--- /dev/null
+++ b/internal/standin/benchreport/benchreport.go
@@ -0,0 +1,117 @@
+package benchreport
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/standin/benchmark"
+)
+
+// Report writes measurements.
+type Report struct {
+	measurements []benchmark.Measurement
+	// notes describe the conditions of the run.
+	notes []string
+}
+
+// New returns a report on the measurements.
+func New(measurements []benchmark.Measurement, notes []string) *Report {
+	return &Report{measurements: measurements, notes: notes}
+}
+
+// column is one column of the table.
+type column struct {
+	title string
+	value func(*benchmark.Measurement) string
+}
+
+func columns() []column {
+	return []column{
+		{"deployment", func(m *benchmark.Measurement) string { return m.Deployment }},
+		{"scenario", func(m *benchmark.Measurement) string { return m.Scenario }},
+		{"policy", func(m *benchmark.Measurement) string { return m.Policy }},
+		{"sent", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Sent) }},
+		{"complete", func(m *benchmark.Measurement) string { return percent(m.Result.Completed, m.Result.Sent) }},
+		{"refused", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.RefusedTotal()) }},
+		{"incomplete", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Incomplete) }},
+		{"broken", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Broken) }},
+		{"unfinished", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Unfinished) }},
+		{"first token p50 / p95 / p99 ms", func(m *benchmark.Measurement) string {
+			return quantiles(m.Result.FirstToken, 50, 95, 99)
+		}},
+		{"between tokens p50 / p95 / p99 / p99.9 ms", func(m *benchmark.Measurement) string {
+			return quantiles(m.Result.Gap, 50, 95, 99, 99.9)
+		}},
+		{"stall share", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%.3f%%", 100*m.Result.StallShare())
+		}},
+		{"total p50 / p99 s", func(m *benchmark.Measurement) string { return totals(m.Result.Total) }},
+		{"tokens/s", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%.0f", float64(m.Result.Tokens)/m.Result.Duration.Seconds())
+		}},
+		{"preemptions", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Preemptions) }},
+		{"lost / doubled tokens", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%d / %d", m.Result.LostTokens, m.Result.DoubledTokens)
+		}},
+		{"crossed / mixed", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%d / %d", m.Result.Crossed, m.Result.Mixed)
+		}},
+		{"truncated but clean", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Truncated) }},
+		{"orders confirmed", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%d of %d", m.Result.OrdersCompleted, m.Result.Orders)
+		}},
+		{"orders doubled / lost / falsely refused", func(m *benchmark.Measurement) string {
+			r := m.Result
+			return fmt.Sprintf("%d / %d / %d", r.OrdersDoubled, r.OrdersLost, r.OrdersFalselyRefused)
+		}},
+		{"not sent", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Skipped) }},
+	}
+}
+
+func percent(part, whole int) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(part)/float64(whole))
+}
+
+func quantiles(h *hdrhistogram.Histogram, percentiles ...float64) string {
+	texts := make([]string, len(percentiles))
+	for i, p := range percentiles {
+		texts[i] = fmt.Sprintf("%.0f", float64(h.ValueAtQuantile(p))/float64(time.Millisecond/time.Microsecond))
+	}
+	return strings.Join(texts, " / ")
+}
+
+func totals(h *hdrhistogram.Histogram) string {
+	second := float64(time.Second / time.Microsecond)
+	return fmt.Sprintf("%.1f / %.1f", float64(h.ValueAtQuantile(50))/second, float64(h.ValueAtQuantile(99))/second)
+}
+
+// WriteMarkdown writes the notes and one table.
+func (r *Report) WriteMarkdown(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString("# Benchmark\n\n")
+	for _, note := range r.notes {
+		b.WriteString("* " + note + "\n")
+	}
+	b.WriteString("\n|")
+	for _, c := range columns() {
+		b.WriteString(" " + c.title + " |")
+	}
+	b.WriteString("\n|" + strings.Repeat(" --- |", len(columns())) + "\n")
+	for i := range r.measurements {
+		b.WriteString("|")
+		for _, c := range columns() {
+			b.WriteString(" " + c.value(&r.measurements[i]) + " |")
+		}
+		b.WriteString("\n")
+	}
+	_, err := io.WriteString(w, b.String())
+	return errors.Wrap(err, "write Markdown report")
+}
--- a/internal/standin/demonstration/demonstration.go
+++ b/internal/standin/demonstration/demonstration.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -191,26 +190,14 @@
 }
 
 func executions(ctx context.Context, address, key string) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/admin/counts", http.NoBody)
-	if err != nil {
-		return 0, errors.Wrap(err, "create request")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, errors.Wrapf(err, "read counts of %s", address)
-	}
-	defer func() { _ = response.Body.Close() }()
-	var counts []plainservice.Count
-	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
-		return 0, errors.Wrapf(err, "decode counts of %s", address)
-	}
+	counts, err := plainservice.ReadCounts(ctx, address)
 	n := 0
 	for _, c := range counts {
 		if c.Key == key {
 			n += c.Executions
 		}
 	}
-	return n, nil
+	return n, err
 }
 
 // showTrace waits until gateway and sidecar have written their spans.
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -35,9 +36,9 @@
 	Programs string
 	// Folder is the run folder. It must be empty or absent.
 	Folder string
-	// Slowdown multiplies the engines' step time.
-	Slowdown float64
-	// StartWarm starts the engines warm.
+	// EngineArguments are further arguments of the stand-in engines.
+	EngineArguments []string
+	// StartWarm starts the engines warm. Restarted engines are cold.
 	StartWarm       bool
 	PlainDelay      time.Duration
 	InstanceListLag time.Duration
@@ -270,7 +271,8 @@
 	return nil
 }
 
-// Restart ends the process at once and starts it again with an empty state.
+// Restart ends the process at once and starts it again with an empty state and
+// cold.
 func (d *Deployment) Restart(name string) error {
 	p := d.Process(name)
 	if p == nil {
@@ -282,6 +284,7 @@
 	if !p.await(time.Now().Add(killMargin)) {
 		return errors.Newf("%s does not end", name)
 	}
+	p.Arguments = slices.DeleteFunc(p.Arguments, func(a string) bool { return a == warmArgument })
 	if err := p.start(filepath.Join(d.options.Folder, logFolder)); err != nil {
 		return err
 	}
--- a/internal/standin/deployment/plan.go
+++ b/internal/standin/deployment/plan.go
@@ -15,6 +15,7 @@
 	bundleFolder   = "bundle"
 	secretName     = "peer_secret"
 	instancesName  = "instances.json"
+	warmArgument   = "--warm"
 )
 
 // planner lays out the processes of a deployment.
@@ -122,13 +123,14 @@
 	}
 	arguments := []string{
 		"engine", "--address", address, "--name", name, "--model", p.spec.Model,
-		"--slowdown", fmt.Sprint(p.options.Slowdown), "--weight-store", p.plan.Platform,
+		"--weight-store", p.plan.Platform,
 	}
+	arguments = append(arguments, p.options.EngineArguments...)
 	if p.spec.ChecksFencing {
 		arguments = append(arguments, "--fencing")
 	}
 	if p.options.StartWarm {
-		arguments = append(arguments, "--warm")
+		arguments = append(arguments, warmArgument)
 	}
 	return arguments
 }
--- /dev/null
+++ b/internal/standin/deployment/process_test.go
@@ -0,0 +1,38 @@
+package deployment
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func startSleep(t *testing.T) *Process {
+	t.Helper()
+	p := &Process{Name: "sleep", Program: "sleep", Arguments: []string{"600"}}
+	require.NoError(t, p.start(t.TempDir()))
+	t.Cleanup(func() { _ = p.Signal(syscall.SIGKILL) })
+	return p
+}
+
+// Guards against a stop that leaves the process behind or never notices its
+// end.
+func TestProcessIsStopped(t *testing.T) {
+	p := startSleep(t)
+	require.True(t, p.Running())
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+	require.True(t, p.await(time.Now().Add(time.Minute)))
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+}
+
+// Guards against a signal to another process that has got the same PID.
+func TestProcessWithAnotherStartTimeIsLeftAlone(t *testing.T) {
+	p := startSleep(t)
+	other := *p
+	other.StartTime = "1"
+	require.False(t, other.Running())
+	require.NoError(t, other.Signal(syscall.SIGKILL))
+	time.Sleep(50 * time.Millisecond)
+	require.True(t, p.Running())
+}
