--- a/internal/request/work/work.go
+++ b/internal/request/work/work.go
@@ -17,6 +17,9 @@
 	PromptTokens int
 	// MaxTokens is the caller's bound on the output, 0 for none.
 	MaxTokens int
+	// ExpectedTokens is the estimate of prompt and output together that fair
+	// queueing charges, 0 for a default.
+	ExpectedTokens int
 	// Priority orders waiting work, lower first.
 	Priority int
 	// Deadline is when the work must have been admitted.
