Add the sidecar: admission, orders, generations and hand-over

Covers the peer endpoints, the queue and its dispatcher, calls to plain services with order keys and the quarantine, and generations.

--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -289,6 +289,18 @@
 	}
 }
 
+// Withdraw revokes a running attempt of which the upstream was never given a
+// byte, because no connection to it could be opened.
+func (l *Ledger) Withdraw(id string, now time.Time) {
+	s := l.attemptShard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[id]
+	if r != nil && r.state == attempt.StateRunning {
+		r.settle(attempt.StateRevoked, nil, now)
+	}
+}
+
 // Revoke marks an attempt that has not been started, seen or not, and returns
 // its state. The binding is the one that the attempt carries. An attempt that
 // joined another revokes that one, because both are the same order. The state
--- /dev/null
+++ b/internal/process/sidecar/frames.go
@@ -0,0 +1,92 @@
+package sidecar
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+// heartbeatInterval is the longest time between two frames of a stream.
+const heartbeatInterval = time.Second
+
+// frameWriter writes the frames of one stream. It is not safe for concurrent
+// use.
+type frameWriter struct {
+	writer http.ResponseWriter
+	// flusher is the writer.
+	flusher *http.ResponseController
+	buffer  []byte
+	report  func() load.Report
+	// beat fires when a heartbeat is due.
+	beat *time.Ticker
+}
+
+func newFrameWriter(w http.ResponseWriter, report func() load.Report) *frameWriter {
+	w.Header().Set("Content-Type", frame.MediaType)
+	w.Header().Set("Cache-Control", "no-store")
+	return &frameWriter{writer: w, flusher: http.NewResponseController(w), report: report, beat: time.NewTicker(heartbeatInterval)}
+}
+
+func (f *frameWriter) close() { f.beat.Stop() }
+
+// send writes a frame that carries the load.
+func (f *frameWriter) send(message frame.Frame) error {
+	report := f.report()
+	message.Load = &report
+	var err error
+	f.buffer, err = message.Append(f.buffer[:0])
+	if err != nil {
+		return err
+	}
+	return f.flush()
+}
+
+func (f *frameWriter) flush() error {
+	if _, err := f.writer.Write(f.buffer); err != nil {
+		return err
+	}
+	return f.flusher.Flush()
+}
+
+func (f *frameWriter) heartbeat() error { return f.send(frame.Frame{Kind: frame.KindHeartbeat}) }
+
+// heartbeatIfDue keeps the load reports coming while tokens flow.
+func (f *frameWriter) heartbeatIfDue() error {
+	select {
+	case <-f.beat.C:
+		return f.heartbeat()
+	default:
+		return nil
+	}
+}
+
+// tokens writes the tokens that follow the given number.
+func (f *frameWriter) tokens(after uint64, tokens [][]byte) error {
+	f.buffer = f.buffer[:0]
+	for i, data := range tokens {
+		f.buffer = frame.AppendToken(f.buffer, after+uint64(i)+1, data)
+	}
+	return f.flush()
+}
+
+func (f *frameWriter) accepted(generationID string) error {
+	return f.send(frame.Frame{Kind: frame.KindAccepted, GenerationID: generationID})
+}
+
+func (f *frameWriter) end(last uint64) error {
+	return f.send(frame.Frame{Kind: frame.KindEnd, Seq: last})
+}
+
+func (f *frameWriter) failed(p problem.Problem) error {
+	return f.send(frame.Frame{Kind: frame.KindFailed, Problem: &p})
+}
+
+func (f *frameWriter) response(r *attempt.Response, replayed bool) error {
+	return f.send(frame.Frame{
+		Kind: frame.KindResponse, Status: r.Status, Header: r.Header, Body: r.Body, Replayed: replayed,
+	})
+}
--- /dev/null
+++ b/internal/process/sidecar/handover.go
@@ -0,0 +1,207 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/handover"
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/version/service"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+const (
+	// handOverPeers is the number of peers that a stopping or starting sidecar
+	// asks, in an order on which both agree.
+	handOverPeers = 16
+	// handOverTimeout bounds one call.
+	handOverTimeout = 2 * time.Second
+	// takeInterval is the time between two rounds of a starting sidecar.
+	takeInterval = time.Second
+	// maxDocumentBytes bounds a document, above the ledger's bound on results.
+	maxDocumentBytes = 64 << 20
+)
+
+func (s *Sidecar) handleHandOver(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	var document handover.Document
+	if err == nil {
+		err = json.Unmarshal(body, &document)
+	}
+	if err != nil || document.Slot != r.PathValue("slot") {
+		_ = problem.Rejected("malformed_hand_over", http.StatusBadRequest, "the document is malformed or of another slot").Write(w)
+		return
+	}
+	if refusal, refused := s.unavailable(); refused {
+		_ = refusal.Write(w)
+		return
+	}
+	if !s.handovers.Put(document, len(body), s.clock()) {
+		_ = problem.NotRun("no_room", "there is no room for the document", retryElsewhere).Write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Sidecar) handleTake(w http.ResponseWriter, r *http.Request) {
+	var request handover.TakeRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		_ = problem.Rejected("malformed_take", http.StatusBadRequest, err.Error()).Write(w)
+		return
+	}
+	document, ok := s.handovers.Take(r.PathValue("slot"), request, s.clock())
+	if !ok {
+		_ = problem.Rejected("no_hand_over", http.StatusNotFound, "there is no document for the successor").Write(w)
+		return
+	}
+	writeJSON(w, document)
+}
+
+// peers returns the peer addresses of the service's other sidecars, in an order
+// that depends on this slot only, so that the successor finds the hand-over
+// early.
+func (s *Sidecar) peers() []string {
+	type candidate struct {
+		address string
+		weight  uint64
+	}
+	var candidates []candidate
+	for _, i := range s.listed() {
+		if i.Service == s.settings.Service && i.Slot != s.settings.Slot && i.State == instance.StateLive {
+			weight := xxhash.Sum64String(i.Slot + "\x00" + s.settings.Slot)
+			candidates = append(candidates, candidate{i.SidecarAddress, weight})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.weight > b.weight {
+			return -1
+		}
+		return 1
+	})
+	addresses := make([]string, 0, handOverPeers)
+	for _, c := range candidates[:min(handOverPeers, len(candidates))] {
+		addresses = append(addresses, c.address)
+	}
+	return addresses
+}
+
+// handOver closes the ledger and leaves it with one peer. After a call whose
+// end is unknown no other peer is tried: two copies could be taken one after
+// the other, and the second would miss orders.
+func (s *Sidecar) handOver(ctx context.Context) {
+	svc := s.service()
+	if svc == nil || svc.Kind != service.KindPlain {
+		return
+	}
+	body, err := json.Marshal(s.document(svc))
+	for _, address := range s.peers() {
+		if err != nil {
+			break
+		}
+		status, _, callErr := s.callPeer(ctx, address, s.handOverPath(""), body)
+		if callErr == nil && status < http.StatusMultipleChoices {
+			s.log.Emit(eventlog.LedgerHandedOver).Str("peer", address).Send()
+			return
+		}
+		if callErr != nil && !isDialError(callErr) {
+			err = callErr
+		}
+	}
+	s.log.Emit(eventlog.LedgerNotHandedOver).Err(err).Send()
+}
+
+func (s *Sidecar) document(svc *service.Service) handover.Document {
+	now := s.clock()
+	return handover.Document{
+		Service:         s.settings.Service,
+		Slot:            s.settings.Slot,
+		SlotIncarnation: s.settings.SlotIncarnation,
+		Entries:         s.ledger.Close(now),
+		Quarantine:      s.quarantine.Snapshot(rulesOf(svc), now),
+	}
+}
+
+func (s *Sidecar) handOverPath(suffix string) string {
+	return "/v1/hand-overs/" + url.PathEscape(s.settings.Slot) + suffix
+}
+
+// takeLoop asks the peers for the predecessor's ledger until it has it or the
+// quarantine ends.
+func (s *Sidecar) takeLoop(ctx context.Context) {
+	for every(ctx, takeInterval) {
+		svc := s.service()
+		if svc == nil {
+			continue
+		}
+		if svc.Kind != service.KindPlain || s.quarantine.Ends(rulesOf(svc)).Before(s.clock()) || s.take(ctx) {
+			return
+		}
+	}
+}
+
+func (s *Sidecar) take(ctx context.Context) bool {
+	body, err := json.Marshal(handover.TakeRequest{Service: s.settings.Service, SlotIncarnation: s.settings.SlotIncarnation})
+	if err != nil {
+		return false
+	}
+	for _, address := range s.peers() {
+		status, answer, err := s.callPeer(ctx, address, s.handOverPath("/take"), body)
+		if err == nil && status == http.StatusOK && s.takeOver(answer, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeOver imports a document. One that cannot be imported whole leaves the
+// quarantine in force.
+func (s *Sidecar) takeOver(body []byte, peer string) bool {
+	var document handover.Document
+	if err := json.Unmarshal(body, &document); err != nil {
+		return false
+	}
+	now := s.clock()
+	if !s.ledger.Import(document.Entries, now) {
+		return false
+	}
+	s.quarantine.TakeOver(document.Quarantine, now)
+	s.log.Emit(eventlog.LedgerTaken).Str("peer", peer).Int("keys", len(document.Entries)).Send()
+	return true
+}
+
+// callPeer posts JSON to another sidecar and returns the whole answer.
+func (s *Sidecar) callPeer(ctx context.Context, address, path string, body []byte) (status int, answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "address peer %s", address)
+	}
+	request.Header.Set("Authorization", "Bearer "+s.secret)
+	request.Header.Set("Content-Type", "application/json")
+	request.GetBody = nil
+	response, err := s.peerClient.Do(request)
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "call peer %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err = io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes))
+	return response.StatusCode, answer, errors.Wrapf(err, "call peer %s", address)
+}
+
+// isDialError reports whether no connection was opened.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/internal/process/sidecar/orders_test.go
@@ -0,0 +1,244 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+func (h *harness) mint() string {
+	var minted attempt.MintedKey
+	require.Equal(h.t, http.StatusOK, h.call(http.MethodPost, "/v1/order-keys", nil, &minted))
+	return minted.OrderKey
+}
+
+func requireOutcome(t *testing.T, f frame.Frame, outcome string) {
+	t.Helper()
+	require.Equal(t, frame.KindFailed, f.Kind)
+	require.Equal(t, outcome, f.Problem.Outcome, f.Problem.Error())
+	require.NotEmpty(t, f.Problem.Peer)
+	require.NotEmpty(t, f.Problem.Step)
+	require.Equal(t, outcome == problem.OutcomeNotRun, f.Problem.Retryable)
+}
+
+// Guards against a second booking when the caller's copy of an order comes
+// while the first runs, after it is done, or over another gateway.
+func TestRepeatedOrderRunsOnce(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	key := h.mint()
+	first := h.order(key)
+	stream := h.offer(context.Background(), first)
+	require.Equal(t, frame.KindAccepted, stream.next().Kind)
+	copied := h.offer(context.Background(), first)
+	repeated := h.offer(context.Background(), h.order(key))
+	require.Equal(t, attempt.StateRunning, h.revoke(first).State)
+	h.await(func() bool { return upstream.calls.Load() == 1 })
+	close(upstream.hold)
+	for _, f := range []*frames{stream, copied, repeated, h.offer(context.Background(), h.order(key))} {
+		end := f.last()
+		require.Equal(t, frame.KindResponse, end.Kind)
+		require.Equal(t, http.StatusCreated, end.Status)
+		require.Equal(t, "booking 1", string(end.Body))
+	}
+	require.Equal(t, "booking 1", string(h.query(first.ID).Response.Body))
+	other := h.order(key)
+	other.Request.Body = []byte(`{"stand":8}`)
+	refusal := h.offer(context.Background(), other).next()
+	require.Equal(t, http.StatusUnprocessableEntity, refusal.Problem.Status)
+	require.EqualValues(t, 1, upstream.calls.Load())
+}
+
+// Guards against an order that runs although its caller was told that it did
+// not, because the revocation overtook it.
+func TestRevocationBeforeTheFirstCopy(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	a := h.order("")
+	require.Equal(t, attempt.StateRevoked, h.revoke(a).State)
+	requireOutcome(t, h.offer(context.Background(), a).next(), problem.OutcomeNotRun)
+	require.Zero(t, upstream.calls.Load())
+}
+
+// Guards against "not run" for an order that the upstream read before it died,
+// and against a repetition of that order.
+func TestUpstreamDiesDuringAnOrder(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream.kill.Store(true)
+	key := h.mint()
+	requireOutcome(t, h.offer(context.Background(), h.order(key)).last(), problem.OutcomeUnknown)
+	upstream.kill.Store(false)
+	end := h.offer(context.Background(), h.order(key)).last()
+	require.Equal(t, problem.OutcomeUnknown, end.Problem.Outcome)
+	require.EqualValues(t, 1, upstream.calls.Load())
+}
+
+// Guards against "outcome unknown" for an order that reached no upstream, and
+// against work for an upstream that is gone.
+func TestUpstreamIsGone(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	key := h.mint()
+	upstream.Close()
+	requireOutcome(t, h.offer(context.Background(), h.order(key)).last(), problem.OutcomeNotRun)
+	h.await(func() bool { return h.report().Phase == load.PhaseStarting })
+	requireOutcome(t, h.offer(context.Background(), h.order("")).last(), problem.OutcomeNotRun)
+}
+
+// Guards against work that a paused process starts after its admission timeout.
+func TestPausedProcessRevokesExpiredWork(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(1, "a"), upstream.URL)
+	running := h.offer(context.Background(), h.order(""))
+	require.Equal(t, frame.KindAccepted, running.next().Kind)
+	waiting := h.order("")
+	queued := h.offer(context.Background(), waiting)
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	h.advance(time.Hour)
+	close(upstream.hold)
+	requireOutcome(t, queued.last(), problem.OutcomeNotRun)
+	require.Equal(t, frame.KindResponse, running.last().Kind)
+	require.Equal(t, attempt.StateRevoked, h.query(waiting.ID).State)
+	require.EqualValues(t, 1, upstream.calls.Load())
+}
+
+// Guards against work that starts although its requester has gone.
+func TestQueuedWorkOfAGoneRequesterIsRevoked(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(1, "a"), upstream.URL)
+	running := h.offer(context.Background(), h.order(""))
+	require.Equal(t, frame.KindAccepted, running.next().Kind)
+	waiting := h.order("")
+	ctx, disconnect := context.WithCancel(context.Background())
+	h.offer(ctx, waiting)
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	disconnect()
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateRevoked })
+	close(upstream.hold)
+	require.Equal(t, frame.KindResponse, running.last().Kind)
+	require.EqualValues(t, 1, upstream.calls.Load())
+}
+
+// Guards against a second run of an opaque key's order by the wrong slot, after
+// a restart without a hand-over, or after a change of the slots.
+func TestOpaqueKeysOutsideTheirHomeOrInQuarantine(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "b"), upstream.URL)
+	refusal := h.offer(context.Background(), h.order("opaque")).next()
+	requireOutcome(t, refusal, problem.OutcomeUnknown)
+	require.Contains(t, refusal.Problem.Type, "not_home")
+
+	h.service.Slots = []string{"a"}
+	h.publish()
+	early := h.order("opaque")
+	refusal = h.offer(context.Background(), early).next()
+	requireOutcome(t, refusal, problem.OutcomeUnknown)
+	require.Contains(t, refusal.Problem.Type, "quarantine")
+	require.Zero(t, upstream.calls.Load())
+
+	offered := h.offer(context.Background(), h.order(refusal.Problem.OrderKey)).last()
+	require.Equal(t, frame.KindResponse, offered.Kind, "the offered key must be accepted")
+
+	h.advance(h.service.KeyLifetime() - time.Minute)
+	late := h.order("opaque")
+	h.advance(2 * time.Minute)
+	requireOutcome(t, h.offer(context.Background(), late).next(), problem.OutcomeUnknown)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order("opaque")).last().Kind)
+	require.EqualValues(t, 2, upstream.calls.Load())
+}
+
+// Guards against a restarted sidecar that runs, or reports as not run, what its
+// predecessor may have run.
+func TestRestartedSidecarRefusesItsPredecessorsOrders(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	key := h.mint()
+	done := h.order(key)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), done).last().Kind)
+	h.restart()
+	require.Equal(t, attempt.StateUnknown, h.query(done.ID).State)
+	require.Equal(t, attempt.StateUnknown, h.revoke(done).State)
+	requireOutcome(t, h.offer(context.Background(), done).next(), problem.OutcomeUnknown)
+	requireOutcome(t, h.offer(context.Background(), h.order(key)).next(), problem.OutcomeUnknown)
+	require.EqualValues(t, 1, upstream.calls.Load())
+}
+
+// Guards against refusing an order that the upstream itself runs once only.
+func TestUpstreamThatDeduplicates(t *testing.T) {
+	upstream := newFakeService(t, false)
+	svc := plainService(8, "b")
+	svc.Orders.UpstreamDeduplicates = true
+	h := newHarness(t, svc, upstream.URL)
+	upstream.kill.Store(true)
+	requireOutcome(t, h.offer(context.Background(), h.order("opaque")).last(), problem.OutcomeUnknown)
+	upstream.kill.Store(false)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order("opaque")).last().Kind)
+}
+
+// Guards against new work for a data centre that is out of service, and against
+// queued work that is not handed back, while running work must finish.
+func TestDataCentreOutOfService(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(1, "a"), upstream.URL)
+	running := h.offer(context.Background(), h.order(""))
+	require.Equal(t, frame.KindAccepted, running.next().Kind)
+	waiting := h.order("")
+	queued := h.offer(context.Background(), waiting)
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	h.state = fleet.StateOutOfService
+	h.publish()
+	require.Equal(t, load.PhaseLeaving, h.report().Phase)
+	requireOutcome(t, queued.last(), problem.OutcomeNotRun)
+	refused := h.order("")
+	requireOutcome(t, h.offer(context.Background(), refused).last(), problem.OutcomeNotRun)
+	h.state = fleet.StateInService
+	h.publish()
+	requireOutcome(t, h.offer(context.Background(), refused).last(), problem.OutcomeNotRun)
+	close(upstream.hold)
+	require.Equal(t, frame.KindResponse, running.last().Kind)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order("")).last().Kind)
+}
+
+// Guards against gateways with a stale view that overload a cold upstream.
+func TestStaleGatewaysCannotOverloadAColdUpstream(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(64, "a"), upstream.URL)
+	limit := h.report().Limit
+	require.Less(t, limit, 64)
+	var streams []*frames
+	for range 32 {
+		streams = append(streams, h.offer(context.Background(), h.order("")))
+	}
+	h.await(func() bool { return int(upstream.calls.Load()) == limit })
+	require.Equal(t, 32-limit, h.report().Queued)
+	close(upstream.hold)
+	for _, stream := range streams {
+		require.Equal(t, frame.KindResponse, stream.last().Kind)
+	}
+}
+
+// Guards against peers without the secret.
+func TestPeersNeedTheSecret(t *testing.T) {
+	h := newHarness(t, plainService(1, "a"), newFakeService(t, false).URL)
+	response := h.request(context.Background(), http.MethodGet, "/v1/state", nil, "Authorization", "Bearer other")
+	require.Equal(t, http.StatusUnauthorized, response.StatusCode)
+}
+
+// Guards against a record that outlives its use.
+func TestRecordsAreForgotten(t *testing.T) {
+	h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order(h.mint())).last().Kind)
+	h.advance(h.service.KeyLifetime() + ledger.Window)
+	h.await(func() bool { return h.sidecar.ledger.Len() == 0 })
+}
