--- /dev/null
+++ b/internal/process/sidecar/generations_test.go
@@ -0,0 +1,370 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/internal/request/generation"
+	"github.com/flamingohold/flamingohold/pkg/eventid"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+// fakeEngine generates the tokens that the test asks for.
+type fakeEngine struct {
+	*httptest.Server
+	mu        sync.Mutex
+	changed   chan struct{}
+	sequences map[string]*fakeSequence
+	// starts counts the generations that were started, resumes the streams that
+	// were resumed.
+	starts, resumes atomic.Int32
+	// refuse makes it answer 400 to new generations.
+	refuse atomic.Bool
+	// startSeconds is the reported start time of its process.
+	startSeconds atomic.Int64
+	// silent makes the streams that are open stop sending; cut ends them.
+	silent, cut map[int]bool
+	streams     int
+}
+
+type fakeSequence struct {
+	tokens    int
+	done      bool
+	cancelled bool
+}
+
+func newFakeEngine(t *testing.T) *fakeEngine {
+	e := &fakeEngine{
+		changed: make(chan struct{}), sequences: map[string]*fakeSequence{},
+		silent: map[int]bool{}, cut: map[int]bool{},
+	}
+	e.startSeconds.Store(1000)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.start)
+	mux.HandleFunc("GET /v1/completions/{id}", e.resume)
+	mux.HandleFunc("DELETE /v1/completions/{id}", e.cancel)
+	mux.HandleFunc("GET /v1/models", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"data":[{"id":"m"}]}`)
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "vllm:num_requests_running 0\nprocess_start_time_seconds %d\n", e.startSeconds.Load())
+	})
+	e.Server = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		e.CloseClientConnections()
+		e.Close()
+	})
+	return e
+}
+
+// change edits the engine's state and wakes its streams.
+func (e *fakeEngine) change(edit func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	edit()
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// generate sets the number of tokens of all generations.
+func (e *fakeEngine) generate(tokens int, done bool) {
+	e.change(func() {
+		for _, s := range e.sequences {
+			s.tokens, s.done = tokens, done
+		}
+	})
+}
+
+// breakStreams silences or cuts the open streams, and no later ones.
+func (e *fakeEngine) breakStreams(broken map[int]bool) {
+	e.change(func() {
+		for i := range e.streams {
+			broken[i+1] = true
+		}
+	})
+}
+
+func (e *fakeEngine) cancelled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, s := range e.sequences {
+		if s.cancelled {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *fakeEngine) start(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		RequestID string `json:"request_id"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	if e.refuse.Load() {
+		http.Error(w, "too long", http.StatusBadRequest)
+		return
+	}
+	e.starts.Add(1)
+	e.change(func() { e.sequences[body.RequestID] = &fakeSequence{} })
+	e.stream(w, r, body.RequestID, 0)
+}
+
+func (e *fakeEngine) resume(w http.ResponseWriter, r *http.Request) {
+	e.resumes.Add(1)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	e.stream(w, r, r.PathValue("id"), after)
+}
+
+func (e *fakeEngine) cancel(_ http.ResponseWriter, r *http.Request) {
+	e.change(func() {
+		if s := e.sequences[r.PathValue("id")]; s != nil {
+			s.cancelled = true
+		}
+	})
+}
+
+func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, id string, after int) {
+	e.mu.Lock()
+	s := e.sequences[id]
+	e.streams++
+	number := e.streams
+	e.mu.Unlock()
+	if s == nil {
+		http.NotFound(w, r)
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	for {
+		e.mu.Lock()
+		state, changed, silent, cut := *s, e.changed, e.silent[number], e.cut[number]
+		e.mu.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		for !silent && after < state.tokens {
+			after++
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"text\":\"t%d\"}\n\n", after, after)
+		}
+		if !silent && state.done {
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func newEngineHarness(t *testing.T) (*fakeEngine, *harness) {
+	e := newFakeEngine(t)
+	return e, newHarness(t, engineService(), e.URL)
+}
+
+// begin offers a generation and returns its stream after the accepted frame.
+func (h *harness) begin(e *fakeEngine) (stream *frames, id string) {
+	started := e.starts.Load()
+	stream = h.offer(context.Background(), h.generation())
+	accepted := stream.next()
+	require.Equal(h.t, frame.KindAccepted, accepted.Kind)
+	h.await(func() bool { return e.starts.Load() == started+1 })
+	return stream, accepted.GenerationID
+}
+
+func requireTokens(t *testing.T, stream *frames, after, last int) {
+	t.Helper()
+	tokens, end := stream.tokens(uint64(after))
+	require.Equal(t, frame.KindEnd, end.Kind)
+	require.EqualValues(t, last, end.Seq)
+	require.Len(t, tokens, last-after)
+	for i, token := range tokens {
+		require.JSONEq(t, fmt.Sprintf(`{"text":"t%d"}`, after+i+1), token)
+	}
+}
+
+// Guards against lost or repeated tokens when the gateway's connection is cut
+// and several readers continue at different positions.
+func TestReadersContinueByNumber(t *testing.T) {
+	e, h := newEngineHarness(t)
+	stream, id := h.begin(e)
+	_, err := eventid.Parse(id + ":1")
+	require.NoError(t, err)
+	e.generate(5, false)
+	require.EqualValues(t, 1, stream.next().Seq)
+	_ = stream.response.Body.Close()
+	resumed := h.resume(id, "bakery", 1)
+	other := h.resume(id, "bakery", 3)
+	e.generate(9, true)
+	requireTokens(t, resumed, 1, 9)
+	requireTokens(t, other, 3, 9)
+	requireTokens(t, h.resume(id, "bakery", 0), 0, 9)
+	require.EqualValues(t, 1, e.starts.Load())
+}
+
+// Guards against one account's answer that another one reads.
+func TestGenerationsBelongToOneAccount(t *testing.T) {
+	e, h := newEngineHarness(t)
+	_, id := h.begin(e)
+	forged := strings.TrimSuffix(id, id[len(id)-4:]) + "0000"
+	for _, attempted := range []string{id, forged} {
+		refusal := h.resume(attempted, "hotel", 0)
+		require.Equal(t, http.StatusForbidden, refusal.response.StatusCode)
+	}
+	h.restart()
+	require.Equal(t, http.StatusForbidden, h.resume(id, "hotel", 0).response.StatusCode)
+	require.Zero(t, e.resumes.Load())
+}
+
+// Guards against an answer that ends with the sidecar process although the
+// engine goes on.
+func TestSidecarRestartsBesideALiveEngine(t *testing.T) {
+	e, h := newEngineHarness(t)
+	_, id := h.begin(e)
+	e.generate(4, false)
+	h.restart()
+	first := h.resume(id, "bakery", 3)
+	second := h.resume(id, "bakery", 0)
+	e.generate(6, true)
+	requireTokens(t, first, 3, 6)
+	requireTokens(t, second, 0, 6)
+	require.EqualValues(t, 1, e.starts.Load())
+}
+
+// Guards against a stream of the engine that is cut or goes silent while the
+// engine generates on.
+func TestEngineStreamBreaks(t *testing.T) {
+	for name, broken := range map[string]func(*fakeEngine) map[int]bool{
+		"cut":    func(e *fakeEngine) map[int]bool { return e.cut },
+		"silent": func(e *fakeEngine) map[int]bool { return e.silent },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, h := newEngineHarness(t)
+			stream, _ := h.begin(e)
+			e.generate(3, false)
+			for range 3 {
+				require.Equal(t, frame.KindToken, stream.next().Kind)
+			}
+			e.breakStreams(broken(e))
+			e.generate(7, true)
+			requireTokens(t, stream, 3, 7)
+		})
+	}
+}
+
+// Guards against a partial answer that passes for a whole one after the engine
+// died, whether it is gone or was replaced by one that does not know the
+// generation.
+func TestEngineDies(t *testing.T) {
+	for name, die := range map[string]func(*fakeEngine){
+		"gone": func(e *fakeEngine) {
+			_ = e.Listener.Close()
+			e.breakStreams(e.cut)
+		},
+		"replaced": func(e *fakeEngine) {
+			e.change(func() { clear(e.sequences) })
+			e.breakStreams(e.cut)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, h := newEngineHarness(t)
+			stream, id := h.begin(e)
+			e.generate(2, false)
+			for range 2 {
+				require.Equal(t, frame.KindToken, stream.next().Kind)
+			}
+			die(e)
+			tokens, end := stream.tokens(2)
+			require.Empty(t, tokens)
+			requireOutcome(t, end, problem.OutcomeIncomplete)
+			_, end = h.resume(id, "bakery", 0).tokens(0)
+			requireOutcome(t, end, problem.OutcomeIncomplete)
+		})
+	}
+}
+
+// Guards against a failure in place of the engine's own refusal.
+func TestEngineRefusesTheRequest(t *testing.T) {
+	e, h := newEngineHarness(t)
+	e.refuse.Store(true)
+	end := h.offer(context.Background(), h.generation()).last()
+	require.Equal(t, frame.KindResponse, end.Kind)
+	require.Equal(t, http.StatusBadRequest, end.Status)
+	require.Contains(t, string(end.Body), "too long")
+}
+
+// Guards against an engine that works for nobody, and against cancelling before
+// the reader had time to come back.
+func TestAbandonedGenerationIsCancelled(t *testing.T) {
+	e, h := newEngineHarness(t)
+	stream, id := h.begin(e)
+	_ = stream.response.Body.Close()
+	again := h.resume(id, "bakery", 0)
+	h.advance(generation.OrphanGrace)
+	e.generate(1, false)
+	require.Equal(t, frame.KindToken, again.next().Kind)
+	require.Zero(t, e.cancelled())
+	_ = again.response.Body.Close()
+	g, ok := h.sidecar.runs.get(id)
+	require.True(t, ok)
+	h.await(func() bool {
+		h.advance(generation.OrphanGrace)
+		state, _, _ := g.log.State()
+		return state == generation.StateFailed && e.cancelled() == 1
+	})
+	h.await(func() bool { return h.sidecar.stage.Load().controller.Running() == 0 })
+}
+
+// Guards against a caller's cancellation that does not reach the engine, also
+// for a generation of an earlier incarnation.
+func TestCancel(t *testing.T) {
+	e, h := newEngineHarness(t)
+	stream, id := h.begin(e)
+	require.Equal(t, http.StatusNoContent, h.call(http.MethodPost, "/v1/generations/"+id+"/cancel", nil, nil))
+	requireOutcome(t, stream.last(), problem.OutcomeIncomplete)
+	h.await(func() bool { return e.cancelled() == 1 })
+	_, id = h.begin(e)
+	h.restart()
+	require.Equal(t, http.StatusNoContent, h.call(http.MethodPost, "/v1/generations/"+id+"/cancel", nil, nil))
+	h.await(func() bool { return e.cancelled() == 2 })
+}
+
+// Guards against full load for an engine that was replaced unannounced.
+func TestEngineTurnsCold(t *testing.T) {
+	e, h := newEngineHarness(t)
+	controller := h.sidecar.stage.Load().controller
+	require.Zero(t, controller.Resets())
+	e.startSeconds.Store(2000)
+	h.await(func() bool { return controller.Resets() == 1 })
+	require.Equal(t, load.PhaseReady, h.report().Phase)
+}
+
+// Guards against a second generation for a copy of the same attempt.
+func TestCopyOfAGenerationJoins(t *testing.T) {
+	e, h := newEngineHarness(t)
+	a := h.generation()
+	first := h.offer(context.Background(), a)
+	second := h.offer(context.Background(), a)
+	h.await(func() bool { return e.starts.Load() == 1 })
+	e.generate(3, true)
+	requireTokens(t, first, 0, 3)
+	requireTokens(t, second, 0, 3)
+	h.await(func() bool { return h.query(a.ID).State == attempt.StateDone })
+	requireTokens(t, h.offer(context.Background(), a), 0, 3)
+	require.EqualValues(t, 1, e.starts.Load())
+}
