Follow the configuration service and the peers

A starting process asks up to five random peers before it reads the service, because the service may be stale. Then gateways hold one blocking query, and every process asks a random peer every 2 s, so that an idle sidecar and a gateway with a stale service learn of a change within the 5 s for data centres.

The reads of one process are spaced to 3 a second with bursts of 2, at most 5 in any second: 370 gateways together stay at 1,850 of the service's 2,000 reads a second, even at a total restart. Random delay alone was ruled out, because it bounds only the mean.

The tests fail without the question to peers at the start, without the early end of a watch after a refusal, without the polling of peers, without the store of verified chunks, without the order of bundles of equal version, and with a burst of 4 reads.

--- /dev/null
+++ b/internal/process/configwatch/watcher.go
@@ -0,0 +1,247 @@
+package configwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/version/adoption"
+	"github.com/flamingohold/flamingohold/internal/version/bundle"
+	"github.com/flamingohold/flamingohold/internal/version/configuration"
+	"github.com/flamingohold/flamingohold/internal/version/manifest"
+)
+
+// Options states where a watcher reads from.
+type Options struct {
+	// Service is the address of the configuration service, empty for sidecars.
+	Service string
+	// Peers are the peer addresses of gateways.
+	Peers []string
+	// Self is the process's own peer address, which is never asked.
+	Self string
+	// Secret is the bearer secret of peer calls.
+	Secret string
+}
+
+// OptionsFrom returns the options of a process with the settings and the peer
+// secret. Only gateways name the configuration service in their settings.
+func OptionsFrom(s *settings.Settings, secret string) Options {
+	return Options{Service: s.ConfigurationService, Peers: s.GatewayPeers, Self: s.PeerAddress, Secret: secret}
+}
+
+// Watcher keeps the newest configuration in force. It is safe for concurrent
+// use.
+type Watcher struct {
+	service *serviceSource
+	peers   []string
+	secret  string
+	client  *http.Client
+	log     *eventlog.Log
+	timing  timing
+	learned chan learned
+	store   *chunkStore
+
+	// current and served change together under mu.
+	current atomic.Pointer[configuration.Configuration]
+	served  atomic.Pointer[served]
+
+	mu          sync.Mutex
+	subscribers []func(*configuration.Configuration)
+	// lastRefusal is the last refusal logged, so that one repeated by every
+	// retry is logged once.
+	lastRefusal string
+}
+
+// learned is a message's mention of a bundle.
+type learned struct {
+	version uint64
+	hash    string
+	peer    string
+}
+
+// New returns a watcher without a configuration. Run starts it.
+func New(o Options, log *eventlog.Log) *Watcher {
+	t := defaultTiming()
+	w := &Watcher{
+		peers:   slices.DeleteFunc(slices.Clone(o.Peers), func(p string) bool { return p == o.Self }),
+		secret:  o.Secret,
+		client:  &http.Client{Transport: newTransport(t.dial)},
+		log:     log,
+		timing:  t,
+		learned: make(chan learned, 1),
+		store:   newChunkStore(),
+	}
+	if o.Service != "" {
+		w.service = &serviceSource{client: w.client, address: o.Service, rate: newReadRate(), timeout: t.serviceRead}
+	}
+	return w
+}
+
+func newTransport(dial time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+// Current returns the configuration in force, nil before the first.
+func (w *Watcher) Current() *configuration.Configuration { return w.current.Load() }
+
+// Subscribe calls the function with the configuration in force, if there is
+// one, and with each later one, in their order and never concurrently. The
+// function must not call Subscribe.
+func (w *Watcher) Subscribe(f func(*configuration.Configuration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.subscribers = append(w.subscribers, f)
+	if c := w.current.Load(); c != nil {
+		f(c)
+	}
+}
+
+// Learn states that a message from the peer mentioned a bundle. The hash may be
+// empty if the message carries none. It never blocks.
+func (w *Watcher) Learn(version uint64, hash, peerAddress string) {
+	if peerAddress == "" || !w.Current().Newer(version, hash) {
+		return
+	}
+	select {
+	case w.learned <- learned{version, hash, peerAddress}:
+	default: // another fetch is due; a later message repeats the mention
+	}
+}
+
+// Run keeps the configuration up to date until the context ends, and returns
+// nil then. A starting process asks its peers first, because the configuration
+// service may be stale.
+func (w *Watcher) Run(ctx context.Context) error {
+	defer w.client.CloseIdleConnections()
+	w.askPeers(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { w.pollPeers(ctx) })
+	group.Go(func() { w.followMentions(ctx) })
+	if w.service != nil {
+		group.Go(func() { w.watchService(ctx) })
+	}
+	group.Wait()
+	return nil
+}
+
+func (w *Watcher) peer(address string) *peerSource {
+	return &peerSource{client: w.client, address: address, secret: w.secret, timeout: w.timing.peerRead}
+}
+
+// adopt reads the chunks that are not at hand and puts the bundle into force if
+// it is newer. The error of a bundle that stays out of force is a
+// *adoption.Refusal.
+func (w *Watcher) adopt(ctx context.Context, m *manifest.Manifest, from source) error {
+	if !w.Current().Newer(m.Version, m.Hash) {
+		return &adoption.Refusal{Version: m.Version, Hash: m.Hash, Reason: adoption.ReasonNotNewer}
+	}
+	chunks, err := w.collect(ctx, m, from)
+	if err == nil {
+		err = w.install(m, chunks, from)
+	}
+	if err != nil {
+		w.refuse(err, m.Version, from)
+	}
+	return err
+}
+
+func (w *Watcher) collect(ctx context.Context, m *manifest.Manifest, from source) (map[string][]byte, error) {
+	chunks := make(map[string][]byte, len(m.Chunks))
+	for _, c := range m.Chunks {
+		data, err := w.chunk(ctx, c, from)
+		if err != nil {
+			reason := adoption.ReasonIncomplete
+			if errors.Is(err, bundle.ErrCorrupt) || errors.Is(err, errTooLarge) {
+				reason = adoption.ReasonCorrupt
+			}
+			return nil, &adoption.Refusal{Version: m.Version, Hash: m.Hash, Reason: reason, Detail: err.Error()}
+		}
+		chunks[c.SHA256] = data
+	}
+	return chunks, nil
+}
+
+// chunk returns a verified chunk from the store, the source or, if that fails,
+// a peer.
+func (w *Watcher) chunk(ctx context.Context, c manifest.Chunk, from source) ([]byte, error) {
+	if data, ok := w.store.get(c.SHA256); ok {
+		return data, nil
+	}
+	data, err := verified(ctx, c, from)
+	if err != nil && len(w.peers) > 0 {
+		other := w.peer(w.peers[rand.IntN(len(w.peers))])
+		if fromPeer, peerErr := verified(ctx, c, other); peerErr == nil {
+			data, err = fromPeer, nil
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	w.store.put(c, data)
+	return data, nil
+}
+
+func verified(ctx context.Context, c manifest.Chunk, from source) ([]byte, error) {
+	data, err := from.chunk(ctx, c.SHA256)
+	if err != nil {
+		return nil, err
+	}
+	return data, errors.Wrapf(bundle.Verify(c, data), "verify chunk from %s", from)
+}
+
+// install puts the bundle into force and tells the subscribers.
+func (w *Watcher) install(m *manifest.Manifest, chunks map[string][]byte, from source) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next, err := adoption.Decide(w.current.Load(), m, chunks)
+	if err != nil {
+		return err
+	}
+	s, err := newServed(m, chunks)
+	if err != nil {
+		return err
+	}
+	w.store.adopt(m, chunks)
+	w.served.Store(s)
+	w.current.Store(next)
+	w.log.Emit(eventlog.ConfigurationAdopted).Uint64("version", m.Version).Str("hash", m.Hash).Str("peer", from.String()).Send()
+	for _, f := range w.subscribers {
+		f(next)
+	}
+	return nil
+}
+
+// refuse logs a refusal once. A bundle that another source has put into force
+// meanwhile is no refusal.
+func (w *Watcher) refuse(err error, version uint64, from source) {
+	var refusal *adoption.Refusal
+	if errors.As(err, &refusal) && refusal.Reason == adoption.ReasonNotNewer {
+		return
+	}
+	if w.repeated(err.Error()) {
+		return
+	}
+	w.log.Emit(eventlog.ConfigurationRefused).Uint64("version", version).Str("peer", from.String()).Err(err).Send()
+}
+
+// repeated reports whether the refusal is the one logged last.
+func (w *Watcher) repeated(text string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	same := text == w.lastRefusal
+	w.lastRefusal = text
+	return same
+}
--- /dev/null
+++ b/internal/process/configwatch/watcher_test.go
@@ -0,0 +1,297 @@
+package configwatch_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/flamingohold/flamingohold/internal/process/configwatch"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/version/account"
+	"github.com/flamingohold/flamingohold/internal/version/bundle"
+	"github.com/flamingohold/flamingohold/internal/version/configuration"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+	"github.com/flamingohold/flamingohold/internal/version/manifest"
+)
+
+// patience is how long a test waits for what must happen; calm is how long it
+// watches that something does not.
+const (
+	patience = 30 * time.Second
+	calm     = 200 * time.Millisecond
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func publication(t *testing.T, version uint64, accounts ...string) *bundle.Bundle {
+	f := fleet.Fleet{
+		DataCentres: []fleet.DataCentre{{Name: "zg-a", Region: "hr-kont", State: fleet.StateInService}},
+		Policy:      fleet.DefaultPolicy(),
+	}
+	var entries []account.Account
+	for _, name := range accounts {
+		entries = append(entries, account.Account{Name: name, KeySHA256: account.HashKey(name)})
+	}
+	b, err := bundle.Encode(version, f, nil, entries)
+	require.NoError(t, err)
+	return b
+}
+
+// process is a running watcher that serves its peers.
+type process struct {
+	*configwatch.Watcher
+	address string
+	log     *lockedBuffer
+	mu      sync.Mutex
+	// adopted lists the versions in the order in which they came into force.
+	adopted []*configuration.Configuration
+}
+
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func start(t *testing.T, o configwatch.Options, prepare ...func(*configwatch.Watcher)) *process {
+	p := &process{log: new(lockedBuffer)}
+	p.Watcher = configwatch.New(o, eventlog.New(p.log, zerolog.DebugLevel, "test"))
+	p.Hasten()
+	for _, f := range prepare {
+		f(p.Watcher)
+	}
+	p.Subscribe(func(c *configuration.Configuration) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.adopted = append(p.adopted, c)
+	})
+	server := httptest.NewServer(p.Handler())
+	p.address = strings.TrimPrefix(server.URL, "http://")
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = p.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		server.Close()
+		p.requireOrder(t)
+	})
+	return p
+}
+
+// requireOrder checks that no version came into force after a later one.
+func (p *process) requireOrder(t *testing.T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := 1; i < len(p.adopted); i++ {
+		require.True(t, p.adopted[i-1].Newer(p.adopted[i].Version, p.adopted[i].Hash))
+	}
+}
+
+func (p *process) waitFor(t *testing.T, b *bundle.Bundle) {
+	require.Eventually(t, func() bool {
+		c := p.Current()
+		return c != nil && c.Hash == b.Manifest.Hash
+	}, patience, time.Millisecond, "log: %s", p.log)
+}
+
+func (p *process) stays(t *testing.T, b *bundle.Bundle) {
+	require.Never(t, func() bool { return p.Current().Hash != b.Manifest.Hash }, calm, 5*time.Millisecond)
+}
+
+// Guards against a change that does not come into force at a gateway that
+// watches the service.
+func TestChangeComesIntoForce(t *testing.T) {
+	service := newFakeService(t)
+	service.publish(t, publication(t, 1, "a"))
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	gateway.waitFor(t, publication(t, 1, "a"))
+	second := publication(t, 2, "a", "b")
+	service.publish(t, second)
+	gateway.waitFor(t, second)
+}
+
+// Guards against a return to an earlier version when the service answers an
+// older one after a newer, fails, and comes back older still.
+func TestOlderAnswerKeepsTheRunningVersion(t *testing.T) {
+	service := newFakeService(t)
+	newer := publication(t, 7, "a")
+	service.publish(t, newer)
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	gateway.waitFor(t, newer)
+	service.publish(t, publication(t, 6, "b"))
+	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4002`) }, patience, time.Millisecond)
+	service.setDown(true)
+	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4003`) }, patience, time.Millisecond)
+	service.publish(t, publication(t, 5, "c"))
+	service.setDown(false)
+	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4004`) }, patience, time.Millisecond)
+	gateway.stays(t, newer)
+}
+
+// Guards against a faulty publication that comes into force or that blocks the
+// correct one after it.
+func TestFaultyPublicationIsRefusedAndTheNextAdopted(t *testing.T) {
+	first, second, third := publication(t, 1, "a"), publication(t, 2, "a", "b"), publication(t, 3, "c")
+	chunk := "flamingohold/chunks/" + second.Manifest.Chunks[1].SHA256
+	faults := map[string]func(map[string][]byte){
+		"corrupt chunk":      func(v map[string][]byte) { v[chunk] = bytes.ToUpper(v[chunk]) },
+		"truncated chunk":    func(v map[string][]byte) { v[chunk] = v[chunk][:9] },
+		"too large chunk":    func(v map[string][]byte) { v[chunk] = make([]byte, manifest.MaxValueBytes+1) },
+		"missing chunk":      func(v map[string][]byte) { delete(v, chunk) },
+		"truncated manifest": func(v map[string][]byte) { v["flamingohold/manifest"] = v["flamingohold/manifest"][:40] },
+		"too large manifest": func(v map[string][]byte) {
+			v["flamingohold/manifest"] = append(v["flamingohold/manifest"], make([]byte, manifest.MaxValueBytes)...)
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			service := newFakeService(t)
+			service.publish(t, first)
+			gateway := start(t, configwatch.Options{Service: service.address()})
+			gateway.waitFor(t, first)
+			service.publish(t, second, fault)
+			require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4001`) }, patience, time.Millisecond)
+			require.Equal(t, first.Manifest.Hash, gateway.Current().Hash)
+			service.publish(t, third)
+			gateway.waitFor(t, third)
+		})
+	}
+}
+
+// Guards against a half-published bundle that stays out of force after its last
+// chunk has arrived, although the manifest does not change any more.
+func TestHalfPublishedBundleIsAdoptedOnceComplete(t *testing.T) {
+	service := newFakeService(t)
+	b := publication(t, 2, "a")
+	key := "flamingohold/chunks/" + b.Manifest.Chunks[1].SHA256
+	service.publish(t, b, func(v map[string][]byte) { delete(v, key) })
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4001`) }, patience, time.Millisecond)
+	service.mu.Lock()
+	service.values[key] = b.Chunks[b.Manifest.Chunks[1].SHA256]
+	service.mu.Unlock()
+	gateway.waitFor(t, b)
+}
+
+// Guards against a restarted process that trusts a stale service although its
+// peers have a later version.
+func TestRestartedProcessAsksPeersBeforeAStaleService(t *testing.T) {
+	service := newFakeService(t)
+	newer := publication(t, 9, "a")
+	service.publish(t, newer)
+	old := start(t, configwatch.Options{Service: service.address()})
+	old.waitFor(t, newer)
+	stale := newFakeService(t)
+	stale.publish(t, publication(t, 3, "b"))
+	restarted := start(t, configwatch.Options{Service: stale.address(), Peers: []string{"127.0.0.1:1", old.address}},
+		(*configwatch.Watcher).PollSeldom)
+	restarted.waitFor(t, newer)
+	restarted.mu.Lock()
+	defer restarted.mu.Unlock()
+	require.Len(t, restarted.adopted, 1)
+}
+
+// Guards against a new process that cannot serve while the service is down, and
+// against one that never recovers if its peers start after it.
+func TestProcessStartsFromPeersWhileTheServiceIsDown(t *testing.T) {
+	down := newFakeService(t)
+	down.setDown(true)
+	service := newFakeService(t)
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	started := start(t, configwatch.Options{Service: down.address(), Peers: []string{gateway.address}})
+	b := publication(t, 1, "a")
+	service.publish(t, b)
+	started.waitFor(t, b)
+}
+
+// Guards against two operators' publications under one version number that
+// divide the processes for ever.
+func TestEqualVersionsConvergeThroughPeers(t *testing.T) {
+	left, right := newFakeService(t), newFakeService(t)
+	first, second := publication(t, 4, "a"), publication(t, 4, "b")
+	if first.Manifest.Hash > second.Manifest.Hash {
+		first, second = second, first
+	}
+	left.publish(t, first)
+	one := start(t, configwatch.Options{Service: right.address()})
+	other := start(t, configwatch.Options{Service: left.address(), Peers: []string{one.address}})
+	other.waitFor(t, first)
+	right.publish(t, second)
+	other.waitFor(t, second)
+	other.stays(t, second)
+}
+
+// Guards against a sidecar without a service that misses a version which a
+// gateway's message mentioned, and against a mention that is a lie.
+func TestSidecarLearnsFromMention(t *testing.T) {
+	service := newFakeService(t)
+	b := publication(t, 3, "a")
+	service.publish(t, b)
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	gateway.waitFor(t, b)
+	sidecar := start(t, configwatch.Options{})
+	sidecar.Learn(8, "", "127.0.0.1:1")
+	require.Eventually(t, func() bool {
+		sidecar.Learn(3, b.Manifest.Hash, gateway.address)
+		return sidecar.Current() != nil
+	}, patience, time.Millisecond)
+	sidecar.waitFor(t, b)
+}
+
+// Guards against more reads than the service can answer: 370 gateways that all
+// restart or read a change at once must stay below 2,000 reads in each second.
+func TestReadsStayWithinTheServiceRate(t *testing.T) {
+	times := configwatch.ReadTimes(time.Unix(0, 0), 200)
+	for i, first := range times {
+		within := 0
+		for _, later := range times[i:] {
+			if later.Sub(first) < time.Second {
+				within++
+			}
+		}
+		require.LessOrEqual(t, within*370, 2000)
+	}
+}
+
+// Guards against reads of chunks that did not change, and against a watch that
+// polls: a process at rest has one waiting call.
+func TestChangeReadsOnlyChangedChunks(t *testing.T) {
+	service := newFakeService(t)
+	first := publication(t, 1, "a")
+	service.publish(t, first)
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	gateway.waitFor(t, first)
+	reads := func() (all, chunks int) {
+		service.mu.Lock()
+		defer service.mu.Unlock()
+		return service.reads, service.chunkReads
+	}
+	// Manifest, fleet, accounts, and the waiting watch.
+	require.Eventually(t, func() bool { all, _ := reads(); return all == 4 }, patience, time.Millisecond)
+	require.Never(t, func() bool { all, _ := reads(); return all > 4 }, calm, 5*time.Millisecond)
+	second := publication(t, 2, "a", "b")
+	service.publish(t, second)
+	gateway.waitFor(t, second)
+	_, chunks := reads()
+	require.Equal(t, 3, chunks)
+}
--- /dev/null
+++ b/internal/version/adoption/adoption_test.go
@@ -0,0 +1,79 @@
+package adoption_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohold/flamingohold/internal/version/account"
+	"github.com/flamingohold/flamingohold/internal/version/adoption"
+	"github.com/flamingohold/flamingohold/internal/version/bundle"
+	"github.com/flamingohold/flamingohold/internal/version/configuration"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+)
+
+func publish(t require.TestingT, version uint64, names ...string) *bundle.Bundle {
+	f := fleet.Fleet{
+		DataCentres: []fleet.DataCentre{{Name: "zg-a", Region: "hr-kont", State: fleet.StateInService}},
+		Policy:      fleet.DefaultPolicy(),
+	}
+	var accounts []account.Account
+	for _, name := range names {
+		accounts = append(accounts, account.Account{Name: name, KeySHA256: account.HashKey(name)})
+	}
+	b, err := bundle.Encode(version, f, nil, accounts)
+	require.NoError(t, err)
+	return b
+}
+
+// Guards against processes that disagree for ever: whatever the order, the
+// repetition and the completeness of what each reads, all that read every
+// bundle end with the same one, and none returns to an earlier one. Two
+// operators publish under one version number here.
+func TestProcessesConvergeAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		published := []*bundle.Bundle{publish(t, 1, "a"), publish(t, 2, "b"), publish(t, 2, "c"), publish(t, 3, "d"), publish(t, 3, "e")}
+		var ends []string
+		for range 2 {
+			var running *configuration.Configuration
+			order := rapid.Permutation(append(published, published...)).Draw(t, "order")
+			for _, b := range order {
+				next, err := adoption.Decide(running, b.Manifest, b.Chunks)
+				if err != nil {
+					continue
+				}
+				if running != nil {
+					require.True(t, running.Newer(next.Version, next.Hash))
+				}
+				running = next
+			}
+			ends = append(ends, running.Hash)
+		}
+		require.Equal(t, ends[0], ends[1])
+	})
+}
+
+// Guards against a bundle that is put into force although a chunk is missing or
+// damaged, or although it contradicts itself, and against a missing reason.
+func TestDecideStatesTheReasonOfARefusal(t *testing.T) {
+	good := publish(t, 5, "a")
+	running, err := adoption.Decide(nil, good.Manifest, good.Chunks)
+	require.NoError(t, err)
+	missing := publish(t, 6, "a", "b")
+	delete(missing.Chunks, missing.Manifest.Chunks[0].SHA256)
+	damaged := publish(t, 6, "a", "b")
+	damaged.Chunks[damaged.Manifest.Chunks[0].SHA256] = []byte("{}")
+	for reason, b := range map[string]*bundle.Bundle{
+		adoption.ReasonNotNewer:   publish(t, 4, "z"),
+		adoption.ReasonIncomplete: missing,
+		adoption.ReasonCorrupt:    damaged,
+		adoption.ReasonInvalid:    publish(t, 6, "a", "a"),
+	} {
+		_, err := adoption.Decide(running, b.Manifest, b.Chunks)
+		var refusal *adoption.Refusal
+		require.ErrorAs(t, err, &refusal)
+		require.Equal(t, reason, refusal.Reason)
+		require.Equal(t, b.Manifest.Version, refusal.Version)
+	}
+}
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -15,9 +15,10 @@
 	// MaxValueBytes bounds the manifest and each chunk. The configuration service
 	// holds values up to 1 MB.
 	MaxValueBytes = 1_000_000
-	// MaxChunks and MaxBundleBytes bound what a reader fetches for one version.
-	// A process spends at most 32 MB on control.
-	MaxChunks      = 512
+	// MaxChunks bounds the reads that one version costs.
+	MaxChunks = 512
+	// MaxBundleBytes bounds the memory that one version costs. A process spends
+	// at most 32 MB on control.
 	MaxBundleBytes = 16 << 20
 	// MaxVersion is the largest integer that every JSON decoder reads exactly.
 	MaxVersion = 1<<53 - 1
