Read the instance list

The reader keeps the last list while the service fails, answers nonsense, or has suddenly lost all instances, and spaces its reads by the size of the list: a list of 1,400 instances of 0.5 MB read at each change of a returning data centre would exceed a node's budget for control many times.

--- /dev/null
+++ b/internal/process/instancelist/doc.go
@@ -0,0 +1,2 @@
+// Package instancelist reads the platform's instance list.
+package instancelist
--- /dev/null
+++ b/internal/process/instancelist/reader_test.go
@@ -0,0 +1,98 @@
+package instancelist
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+)
+
+const patience = 30 * time.Second
+
+// script answers with its bodies in turn and repeats the last one; an empty
+// body stands for a failure.
+type script struct {
+	mu     sync.Mutex
+	bodies []string
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body := s.bodies[0]
+	if len(s.bodies) > 1 {
+		s.bodies = s.bodies[1:]
+	}
+	if body == "" {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	_, _ = fmt.Fprint(w, body)
+}
+
+// Guards against a failing, malformed, truncated or suddenly empty list that
+// replaces the last good one, and against a reader that does not follow a
+// service which restarts with a lower index.
+func TestFaultyAnswersKeepTheLastList(t *testing.T) {
+	const one = `{"index":9,"instances":[{"name":"lm-1","service":"lm","state":"live"}]}`
+	const two = `{"index":2,"instances":[{"name":"lm-2","service":"lm","state":"leaving"}]}`
+	server := httptest.NewServer(&script{bodies: []string{
+		"", one, `{"index":10,"instances":[]}`, one[:30], `{"index":11,"instances":[{"name":"lm-1","service":"lm","state":"dead"}]}`, "", two,
+	}})
+	defer server.Close()
+	var log bytes.Buffer
+	delivered := make(chan []instance.Instance, 100)
+	r := New(strings.TrimPrefix(server.URL, "http://"), eventlog.New(&log, zerolog.InfoLevel, "test"), func(l []instance.Instance, _ time.Time) { delivered <- l })
+	r.retry, r.pause = time.Millisecond, time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = r.Run(ctx) })
+	for _, name := range []string{"lm-1", "lm-2"} {
+		select {
+		case l := <-delivered:
+			require.Len(t, l, 1)
+			require.Equal(t, name, l[0].Name)
+		case <-time.After(patience):
+			require.Fail(t, "no list was delivered")
+		}
+	}
+	cancel()
+	group.Wait()
+	require.Equal(t, 3, strings.Count(log.String(), `"event":4008`))
+}
+
+// Guards against a flood of large lists while many instances change: the list
+// of the target size is read every few seconds only.
+func TestSpacingGrowsWithTheList(t *testing.T) {
+	r := New("", eventlog.Discard(), nil)
+	require.Less(t, r.spacing(4<<10), time.Second)
+	require.Greater(t, r.spacing(500<<10), 2*time.Second)
+	require.Less(t, r.spacing(maxListBytes), 4*time.Second)
+}
+
+// Guards against a panic on a malformed answer.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"index":1,"instances":[{"name":"a","service":"s","state":"live","incarnation":1}]}`))
+	f.Add([]byte(`{"instances":[{"incarnation":-1}]}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		l, err := decode(body)
+		if err != nil {
+			require.ErrorIs(t, err, errMalformed)
+			return
+		}
+		for _, i := range l.Instances {
+			require.NotEmpty(t, i.Name)
+		}
+	})
+}
