--- /dev/null
+++ b/internal/version/collection/collection.go
@@ -0,0 +1,174 @@
+package collection
+
+import (
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/version/account"
+	"github.com/flamingohold/flamingohold/internal/version/consistency"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+	"github.com/flamingohold/flamingohold/internal/version/schema"
+	"github.com/flamingohold/flamingohold/internal/version/service"
+)
+
+// maxFileBytes bounds one file. 13,000 accounts take about 2 MB.
+const maxFileBytes = 16 << 20
+
+// Collection is the content of the operators' files in one directory.
+type Collection struct {
+	Fleet    fleet.Fleet
+	Services []service.Service
+	Accounts []account.Account
+	// Files lists the paths read, relative to the directory.
+	Files []string
+
+	schema *schema.Schema
+	faults []schema.Fault
+	// fleetFiles, serviceOrigins and accountOrigins state where the content of
+	// the same position comes from.
+	fleetFiles     []string
+	serviceOrigins []origin
+	accountOrigins []origin
+}
+
+// origin is the place of a value in a file.
+type origin struct{ file, path string }
+
+// Read returns the content of all operators' files below the directory and
+// every fault in them, ordered by file. The content is valid only if there is no
+// fault. The error is that of reading the directory. Hidden directories are
+// passed over.
+func Read(directory string) (*Collection, []schema.Fault, error) {
+	s, err := schema.New()
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &Collection{schema: s}
+	err = filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		return c.visit(directory, path, entry)
+	})
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "read %s", directory)
+	}
+	c.checkTogether()
+	slices.SortStableFunc(c.faults, func(a, b schema.Fault) int { return strings.Compare(a.File, b.File) })
+	return c, c.faults, nil
+}
+
+func (c *Collection) visit(directory, path string, entry fs.DirEntry) error {
+	if entry.IsDir() {
+		if path != directory && strings.HasPrefix(entry.Name(), ".") {
+			return fs.SkipDir
+		}
+		return nil
+	}
+	if !strings.HasSuffix(entry.Name(), schema.Suffix) {
+		return nil
+	}
+	relative, err := filepath.Rel(directory, path)
+	if err != nil {
+		return err
+	}
+	return c.readFile(path, filepath.ToSlash(relative), entry.Name())
+}
+
+func (c *Collection) readFile(path, file, name string) error {
+	if !slices.Contains(schema.FileNames(), name) {
+		suggestion := "rename it to one of " + strings.Join(schema.FileNames(), ", ")
+		if nearest := schema.Nearest(name, schema.FileNames()); nearest != "" {
+			suggestion = fmt.Sprintf("did you mean %q?", nearest)
+		}
+		c.fault(file, "", fmt.Sprintf("file name %q is unknown", name), suggestion)
+		return nil
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	if info.Size() > maxFileBytes {
+		c.fault(file, "", fmt.Sprintf("the file has %d bytes", info.Size()), fmt.Sprintf("keep it below %d bytes", maxFileBytes))
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	c.Files = append(c.Files, file)
+	content, faults := c.schema.Check(name, file, data)
+	c.faults = append(c.faults, faults...)
+	c.add(name, file, content)
+	return nil
+}
+
+// add decodes the content as far as possible, so that a fault in one entry does
+// not hide those of others. What does not decode has a fault already.
+func (c *Collection) add(name, file string, content []byte) {
+	switch name {
+	case schema.FleetFile:
+		c.fleetFiles = append(c.fleetFiles, file)
+		_ = json.Unmarshal(content, &c.Fleet)
+	case schema.ServiceFile:
+		var s service.Service
+		if json.Unmarshal(content, &s) == nil {
+			c.Services = append(c.Services, s)
+			c.serviceOrigins = append(c.serviceOrigins, origin{file, ""})
+		}
+	case schema.AccountsFile:
+		var entries []json.RawMessage
+		_ = json.Unmarshal(content, &entries)
+		for i, entry := range entries {
+			var a account.Account
+			if json.Unmarshal(entry, &a) == nil {
+				c.Accounts = append(c.Accounts, a)
+				c.accountOrigins = append(c.accountOrigins, origin{file, fmt.Sprintf("/%d", i)})
+			}
+		}
+	}
+}
+
+func (c *Collection) checkTogether() {
+	if len(c.fleetFiles) == 0 {
+		c.fleetFiles = []string{schema.FleetFile}
+		c.fault(schema.FleetFile, "", "the file is missing", "add it at the top of the directory")
+	}
+	for _, file := range c.fleetFiles[1:] {
+		c.fault(file, "", "the fleet is also described by "+c.fleetFiles[0], "keep one of the files")
+	}
+	// A finding at a place with a fault, or in a file whose structure is at
+	// fault, only repeats that fault.
+	known := make(map[origin]bool)
+	for _, f := range c.faults {
+		known[origin{f.File, f.Path}] = true
+	}
+	for _, f := range consistency.Check(c.Fleet, c.Services, c.Accounts) {
+		o := c.origin(f)
+		if !known[o] && !known[origin{o.file, ""}] {
+			c.fault(o.file, o.path, f.Reason, f.Suggestion)
+		}
+	}
+}
+
+func (c *Collection) origin(f consistency.Finding) origin {
+	o := origin{file: c.fleetFiles[0]}
+	switch f.Section {
+	case consistency.SectionServices:
+		o = c.serviceOrigins[f.Index]
+	case consistency.SectionAccounts:
+		o = c.accountOrigins[f.Index]
+	}
+	return origin{o.file, o.path + f.Path}
+}
+
+func (c *Collection) fault(file, path, reason, suggestion string) {
+	c.faults = append(c.faults, schema.Fault{File: file, Path: path, Reason: reason, Suggestion: suggestion})
+}
--- a/internal/version/consistency/consistency.go
+++ b/internal/version/consistency/consistency.go
@@ -177,7 +177,12 @@
 	owners[value] = by
 }
 
+// checkDataCentres compares nothing with a fleet that lists no data centre,
+// which is a fault by itself.
 func (c *checker) checkDataCentres(f fleet.Fleet, s *service.Service) {
+	if len(f.DataCentres) == 0 {
+		return
+	}
 	for i, name := range s.DataCentres {
 		known := slices.ContainsFunc(f.DataCentres, func(d fleet.DataCentre) bool { return d.Name == name })
 		c.require(known, fmt.Sprintf("/data_centres/%d", i), "list it in fleet.flamingohold.json", "data centre %q is unknown", name)
--- /dev/null
+++ b/internal/version/schema/node.go
@@ -0,0 +1,112 @@
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const referencePrefix = "#/$defs/"
+
+// node is the part of a JSON schema that defaults and the reference page need.
+type node struct {
+	Title            string           `json:"title"`
+	Description      string           `json:"description"`
+	Type             string           `json:"type"`
+	Reference        string           `json:"$ref"`
+	Enum             []string         `json:"enum"`
+	Pattern          string           `json:"pattern"`
+	Minimum          *json.Number     `json:"minimum"`
+	ExclusiveMinimum *json.Number     `json:"exclusiveMinimum"`
+	Maximum          *json.Number     `json:"maximum"`
+	Required         []string         `json:"required"`
+	Default          json.RawMessage  `json:"default"`
+	Items            *node            `json:"items"`
+	Properties       properties       `json:"properties"`
+	Definitions      map[string]*node `json:"$defs"`
+}
+
+// property is a named field.
+type property struct {
+	name string
+	node *node
+}
+
+// properties keeps the order of the schema, in which the reference page lists
+// the fields.
+type properties []property
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *properties) UnmarshalJSON(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if _, err := decoder.Token(); err != nil {
+		return err
+	}
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		text, ok := name.(string)
+		if !ok {
+			return errors.Newf("property name %v is no string", name)
+		}
+		n := new(node)
+		if err := decoder.Decode(n); err != nil {
+			return err
+		}
+		*p = append(*p, property{text, n})
+	}
+	return nil
+}
+
+// names returns the names of the fields.
+func (p properties) names() []string {
+	var names []string
+	for _, q := range p {
+		names = append(names, q.name)
+	}
+	return names
+}
+
+// resolve returns the node that the reference names, or the node itself.
+func (s *Schema) resolve(n *node) *node {
+	if n.Reference == "" {
+		return n
+	}
+	return s.definitions[strings.TrimPrefix(n.Reference, referencePrefix)]
+}
+
+// withDefaults returns the value with the defaults of omitted fields. Values of
+// another type than the schema's are returned unchanged.
+func (s *Schema) withDefaults(n *node, value any) any {
+	n = s.resolve(n)
+	switch v := value.(type) {
+	case map[string]any:
+		for _, p := range n.Properties {
+			s.fill(v, p)
+		}
+	case []any:
+		for i := range v {
+			if n.Items != nil {
+				v[i] = s.withDefaults(n.Items, v[i])
+			}
+		}
+	}
+	return value
+}
+
+func (s *Schema) fill(object map[string]any, p property) {
+	n := s.resolve(p.node)
+	value, given := object[p.name]
+	switch {
+	case given:
+		object[p.name] = s.withDefaults(n, value)
+	case n.Type == "object":
+		object[p.name] = s.withDefaults(n, map[string]any{})
+	case n.Default != nil:
+		object[p.name] = n.Default
+	}
+}
