--- /dev/null
+++ b/internal/connection/listener/listener.go
@@ -0,0 +1,306 @@
+package listener
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/flamingohold/flamingohold/internal/connection/stream"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+const (
+	// maxHeaderBytes bounds the request line and the header together.
+	maxHeaderBytes = 64 << 10
+	// maxWriteBufferBytes is a last bound on the unsent data of a connection,
+	// above which the library closes it. The stream writer waits well below it.
+	maxWriteBufferBytes = 4 << 20
+	// sweepInterval is the time between two looks at the busy connections.
+	sweepInterval = 20 * time.Millisecond
+	// defaultReceiveTimeout bounds the time to receive one request.
+	defaultReceiveTimeout = 30 * time.Second
+	defaultIdleTimeout    = 120 * time.Second
+	defaultMaxBodyBytes   = 8 << 20
+	defaultMaxConnections = 20_000
+)
+
+// Options are the limits that protect a listener from its callers. A limit of 0
+// selects a default.
+type Options struct {
+	// Address is "ip:port"; port 0 selects a free one.
+	Address string
+	// MaxBodyBytes bounds a request body, by default 8 MiB.
+	MaxBodyBytes int
+	// MaxConnections bounds the open connections, by default 20,000.
+	MaxConnections int
+	// IdleTimeout closes a connection without a request, and one whose caller
+	// takes nothing of a waiting answer, by default after 120 s.
+	IdleTimeout time.Duration
+	// ReceiveTimeout closes a connection whose request has not arrived whole
+	// this long after its first byte, by default 30 s.
+	ReceiveTimeout time.Duration
+	// Panicked is told of a panic of the handler; nil ignores it.
+	Panicked func(value any, stack []byte)
+}
+
+// FromSettings returns the options for the address with the process's limits.
+func FromSettings(s *settings.Settings, address string) Options {
+	return Options{
+		Address:        address,
+		MaxBodyBytes:   s.MaxBodyBytes,
+		MaxConnections: s.MaxConnections,
+		IdleTimeout:    time.Duration(s.IdleTimeoutMillis) * time.Millisecond,
+	}
+}
+
+func (o Options) withDefaults() Options {
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.MaxConnections <= 0 {
+		o.MaxConnections = defaultMaxConnections
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.ReceiveTimeout <= 0 {
+		o.ReceiveTimeout = defaultReceiveTimeout
+	}
+	if o.Panicked == nil {
+		o.Panicked = func(any, []byte) {}
+	}
+	return o
+}
+
+// Listener accepts connections and serves their requests.
+type Listener struct {
+	options Options
+	handler http.Handler
+	engine  *nbhttp.Engine
+	socket  *socket
+	// stopped is closed when the sweep must end.
+	stopped chan struct{}
+	swept   sync.WaitGroup
+
+	mu sync.Mutex
+	// busy holds the connections that receive a request, serve one, or have
+	// unsent data.
+	busy map[*connection]struct{}
+	// closing is true once Shutdown has begun.
+	closing bool
+}
+
+var quietLibrary sync.Once
+
+// New starts to serve. The handler's writer is a *stream.Writer, and the
+// context of its request is cancelled when the caller disconnects. The handler
+// must not use the request's body after it has returned.
+func New(options Options, handler http.Handler) (*Listener, error) {
+	// The library prints to standard output what the listener handles itself.
+	quietLibrary.Do(func() { logging.SetLevel(logging.LevelNone) })
+	l := &Listener{
+		options: options.withDefaults(),
+		handler: handler,
+		stopped: make(chan struct{}),
+		busy:    make(map[*connection]struct{}),
+	}
+	l.engine = nbhttp.NewEngine(l.engineConfig())
+	l.engine.OnData(l.receive)
+	l.engine.OnWrittenSize(written)
+	l.engine.OnClose(closed)
+	if err := l.engine.Start(); err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", options.Address)
+	}
+	l.swept.Add(1)
+	go l.sweep()
+	return l, nil
+}
+
+func (l *Listener) engineConfig() nbhttp.Config {
+	return nbhttp.Config{
+		Network:            "tcp",
+		Addrs:              []string{l.options.Address},
+		Listen:             l.listen,
+		MaxLoad:            l.options.MaxConnections,
+		ReadLimit:          l.options.MaxBodyBytes + maxHeaderBytes,
+		MaxHTTPBodySize:    l.options.MaxBodyBytes,
+		MaxWriteBufferSize: maxWriteBufferBytes,
+		KeepaliveTime:      l.options.IdleTimeout,
+		IOMod:              nbhttp.IOModNonBlocking,
+		Handler:            http.HandlerFunc(l.serve),
+		SupportServerOnly:  true,
+		// A pool of fixed size would let long answers block short ones.
+		ServerExecutor: func(f func()) { go f() },
+	}
+}
+
+func (l *Listener) listen(network, address string) (net.Listener, error) {
+	inner, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	l.socket = &socket{Listener: inner, closed: make(chan struct{})}
+	return l.socket, nil
+}
+
+// Address returns the "ip:port" on which the listener accepts.
+func (l *Listener) Address() string { return l.socket.Addr().String() }
+
+// Shutdown stops accepting connections, lets running requests end and their
+// answers reach the callers, and closes all connections. If the context ends
+// first, it closes them at once and returns the context's error.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	l.mu.Lock()
+	again := l.closing
+	l.closing = true
+	l.mu.Unlock()
+	if again {
+		return errors.New("listener is already shut down")
+	}
+	l.socket.stopAccepting()
+	err := l.waitUntilIdle(ctx)
+	close(l.stopped)
+	l.swept.Wait()
+	l.engine.Stop()
+	return err
+}
+
+func (l *Listener) waitUntilIdle(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for l.busyCount() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (l *Listener) busyCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.busy)
+}
+
+func (l *Listener) isClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closing
+}
+
+// receive handles data from a caller; the library calls it for one connection
+// from one goroutine at a time.
+func (l *Listener) receive(socket *nbio.Conn, data []byte) {
+	parser, ok := socket.Session().(*nbhttp.Parser)
+	if !ok {
+		_ = socket.Close()
+		return
+	}
+	c, ok := parser.Conn.(*connection)
+	if !ok {
+		c = newConnection(l, parser.Conn, socket)
+		parser.Processor = &processor{Processor: parser.Processor, connection: c, maxBody: int64(l.options.MaxBodyBytes)}
+		parser.Conn = c
+	}
+	if !c.beginReceiving(time.Now()) {
+		return
+	}
+	l.markBusy(c)
+	if err := parser.Parse(data); err != nil {
+		c.refuse(refusalFor(err))
+	}
+	c.sendRefusal(time.Now())
+}
+
+func (l *Listener) markBusy(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy[c] = struct{}{}
+}
+
+// closed is called after the last handler of a closed connection.
+func closed(socket net.Conn, _ error) {
+	nb, ok := socket.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	if c := connectionOf(nb); c != nil {
+		c.finish()
+	}
+}
+
+// serve runs the handler with a writer that protects it from the library.
+func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
+	response, ok := w.(*nbhttp.Response)
+	if !ok {
+		return
+	}
+	c, ok := response.Parser.Conn.(*connection)
+	if !ok {
+		return
+	}
+	if l.isClosing() {
+		r.Close = true
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	c.setCancel(cancel)
+	s := stream.NewWithConnection(w, r.Method, c)
+	defer l.recoverPanic(s, c)
+	l.handler.ServeHTTP(s, r.WithContext(ctx))
+}
+
+// recoverPanic ends the answer of a handler that panicked. If a part of it has
+// been written, the connection is closed, so that the caller cannot take the
+// part for the whole.
+func (l *Listener) recoverPanic(w *stream.Writer, c *connection) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value != http.ErrAbortHandler { //nolint:errorlint // net/http documents the value itself
+		l.options.Panicked(value, debug.Stack())
+	}
+	if w.Started() || value == http.ErrAbortHandler { //nolint:errorlint // see above
+		_ = c.socket.Close()
+		return
+	}
+	failure := problem.Unknown("internal_error", "the handler of the request failed")
+	_ = failure.WithStatus(http.StatusInternalServerError).Write(w)
+}
+
+// sweep looks at the busy connections until the listener stops.
+func (l *Listener) sweep() {
+	defer l.swept.Done()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stopped:
+			return
+		case now := <-ticker.C:
+			l.sweepOnce(now)
+		}
+	}
+}
+
+func (l *Listener) sweepOnce(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.busy {
+		if !c.inspect(now, l.options.IdleTimeout) {
+			delete(l.busy, c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/listener/listener_test.go
@@ -0,0 +1,363 @@
+package listener_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/listener"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+const patience = 20 * time.Second
+
+func start(t *testing.T, o listener.Options, h http.HandlerFunc) *listener.Listener {
+	t.Helper()
+	o.Address = "127.0.0.1:0"
+	l, err := listener.New(o, h)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_ = l.Shutdown(ctx)
+	})
+	return l
+}
+
+func dial(t *testing.T, l *listener.Listener, request string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	return c, bufio.NewReader(c)
+}
+
+func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(body)
+}
+
+// Guards against the idle timeout cutting off an answer that lasts longer.
+func TestAnswerOutlastsTheIdleTimeout(t *testing.T) {
+	const events = 30
+	l := start(t, listener.Options{IdleTimeout: 200 * time.Millisecond, ReceiveTimeout: 200 * time.Millisecond}, func(w http.ResponseWriter, _ *http.Request) {
+		for range events {
+			_, _ = io.WriteString(w, "event\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(30 * time.Millisecond)
+		}
+	})
+	_, r := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, body := read(t, r)
+	require.Equal(t, strings.Repeat("event\n", events), body)
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the idle connection is closed afterwards")
+}
+
+// Guards against work for a caller that has disconnected unnoticed.
+func TestDisconnectCancelsTheRequest(t *testing.T) {
+	noticed := make(chan error, 1)
+	l := start(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "first")
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			_, err := io.WriteString(w, "second")
+			noticed <- err
+		case <-time.After(patience):
+			noticed <- nil
+		}
+	})
+	c, r := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.Error(t, <-noticed)
+}
+
+// slowReader reads slower than the answer is produced, and pauses once it has
+// been produced, so that the end of it is still queued then.
+type slowReader struct {
+	io.Reader
+	done chan struct{}
+}
+
+func (s *slowReader) Read(p []byte) (int, error) {
+	select {
+	case <-s.done:
+		time.Sleep(time.Millisecond)
+	default:
+		time.Sleep(100 * time.Microsecond)
+	}
+	return s.Reader.Read(p[:min(len(p), 64<<10)])
+}
+
+// Guards against unbounded memory for a caller that does not read, and against
+// an answer that is cut off because its caller is slow. "Connection: close"
+// must not drop the queued part either.
+func TestSlowCallerGetsItsWholeAnswerWithinBoundedMemory(t *testing.T) {
+	const size = 48 << 20
+	block := bytes.Repeat([]byte("0123456789abcdef"), 12<<10)
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		var produced atomic.Int64
+		done := make(chan struct{})
+		l := start(t, listener.Options{}, func(w http.ResponseWriter, _ *http.Request) {
+			defer close(done)
+			for produced.Load() < size {
+				n, err := w.Write(block)
+				if err != nil {
+					return
+				}
+				produced.Add(int64(n))
+			}
+		})
+		c, r := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n"+header+"\r\n")
+		require.NoError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+		var last int64 = -1
+		require.Eventually(t, func() bool {
+			before := last
+			last = produced.Load()
+			return last > 0 && before == last
+		}, patience, 300*time.Millisecond, "the handler never waits")
+		require.Less(t, last, int64(16<<20))
+		response, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		got := sha256.New()
+		n, err := io.Copy(got, &slowReader{response.Body, done})
+		require.NoError(t, err)
+		require.EqualValues(t, size, n)
+		want := sha256.New()
+		for range size / len(block) {
+			want.Write(block)
+		}
+		require.Equal(t, want.Sum(nil), got.Sum(nil))
+	}
+}
+
+// Guards against the library's reuse of a released buffer, which mixes the
+// answers of different callers.
+func TestConcurrentAnswersDoNotMix(t *testing.T) {
+	l := start(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		letter := r.URL.Path[1:]
+		for range 20 {
+			_, _ = io.WriteString(w, letter)
+			_, _ = io.WriteString(w, strings.Repeat(letter, 70_000))
+		}
+	})
+	var group sync.WaitGroup
+	mixed := make(chan string, 16)
+	for i := range 16 {
+		letter := string(rune('a' + i))
+		group.Go(func() {
+			for range 10 {
+				response, err := http.Get("http://" + l.Address() + "/" + letter)
+				if err != nil {
+					mixed <- err.Error()
+					return
+				}
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				if err != nil || string(body) != strings.Repeat(letter, 20*70_001) {
+					mixed <- letter
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	require.Empty(t, mixed)
+}
+
+// Guards against a caller that keeps an answer in memory for ever.
+func TestCallerThatTakesNothingIsCutOffAfterTheIdleTimeout(t *testing.T) {
+	ended := make(chan error, 1)
+	l := start(t, listener.Options{IdleTimeout: 200 * time.Millisecond}, func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, 64<<20))
+		ended <- err
+	})
+	dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	select {
+	case err := <-ended:
+		require.Error(t, err)
+	case <-time.After(patience):
+		require.Fail(t, "the handler still waits")
+	}
+}
+
+// Guards against request smuggling: two processes that disagree about the end
+// of a request see different requests.
+func TestAmbiguousAndMalformedRequestsAreRefused(t *testing.T) {
+	var served atomic.Int64
+	l := start(t, listener.Options{}, func(http.ResponseWriter, *http.Request) { served.Add(1) })
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+	// The caller reads the end of the connection only after the lingering time.
+	for name, test := range map[string]struct {
+		request string
+		status  int
+	}{
+		"length and encoding": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
+		"encoding and length": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
+		"two lengths":         {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 37\r\n\r\n" + smuggled, http.StatusBadRequest},
+		"two encodings":       {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
+		"negative length":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", http.StatusBadRequest},
+		"bad chunk size":      {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
+		"old version":         {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", http.StatusHTTPVersionNotSupported},
+		"large header":        {"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-A: "+strings.Repeat("a", 1000)+"\r\n", 80) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			t.Cleanup(func() { require.Zero(t, served.Load()) })
+			_, r := dial(t, l, test.request)
+			response, body := read(t, r)
+			require.Equal(t, test.status, response.StatusCode, body)
+			require.Equal(t, problem.MediaType, response.Header.Get("Content-Type"))
+			_, err := r.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
+// Guards against unbounded request bodies, and against a reset in place of the
+// refusal while the caller is still sending.
+func TestOversizedBodyIsRefused(t *testing.T) {
+	l := start(t, listener.Options{MaxBodyBytes: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	for _, size := range []int{1 << 20, 1<<20 + 1, 8 << 20} {
+		for _, chunked := range []bool{false, true} {
+			var body io.Reader = bytes.NewReader(make([]byte, size))
+			if chunked {
+				body = io.MultiReader(body)
+			}
+			response, err := http.Post("http://"+l.Address(), "application/octet-stream", body)
+			require.NoError(t, err, "size %d chunked %t", size, chunked)
+			text, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			_ = response.Body.Close()
+			if size > 1<<20 {
+				require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+			} else {
+				require.Equal(t, fmt.Sprint(size), string(text))
+			}
+		}
+	}
+}
+
+// Guards against connections held open by a request that never ends.
+func TestSlowRequestIsCutOff(t *testing.T) {
+	l := start(t, listener.Options{ReceiveTimeout: 150 * time.Millisecond}, func(http.ResponseWriter, *http.Request) {})
+	_, r := dial(t, l, "GET / HTTP/1.1\r\nHost:")
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against more open connections than configured.
+func TestConnectionsAreBounded(t *testing.T) {
+	l := start(t, listener.Options{MaxConnections: 2}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	for range 2 {
+		_, r := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		_, body := read(t, r)
+		require.Equal(t, "ok", body)
+	}
+	_, r := dial(t, l, "")
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a shutdown that cuts off running requests or waits for idle
+// connections.
+func TestShutdownLetsRunningRequestsEnd(t *testing.T) {
+	running, release := make(chan struct{}, 1), make(chan struct{})
+	l, err := listener.New(listener.Options{Address: "127.0.0.1:0"}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/idle" {
+			return
+		}
+		running <- struct{}{}
+		<-release
+		_, _ = w.Write(make([]byte, 24<<20))
+	}))
+	require.NoError(t, err)
+	idle, idleReader := dial(t, l, "GET /idle HTTP/1.1\r\nHost: a\r\n\r\n")
+	read(t, idleReader)
+	_, r := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-running
+	down := make(chan error, 1)
+	go func() { down <- l.Shutdown(context.Background()) }()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", l.Address())
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, patience, 10*time.Millisecond, "still accepts")
+	require.Empty(t, down)
+	close(release)
+	response, body := read(t, r)
+	require.True(t, response.ContentLength == 24<<20 || response.ContentLength < 0)
+	require.Len(t, body, 24<<20)
+	require.NoError(t, <-down)
+	_ = idle.Close()
+}
+
+// Guards against an answer that looks whole after its handler failed.
+func TestPanicEndsTheAnswer(t *testing.T) {
+	l := start(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/late" {
+			_, _ = io.WriteString(w, "part")
+			w.(http.Flusher).Flush()
+		}
+		panic("failed")
+	})
+	_, r := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	response, _ := read(t, r)
+	require.Equal(t, http.StatusInternalServerError, response.StatusCode)
+	_, r = dial(t, l, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// Guards against answers to HEAD and statuses without a name that break the
+// framing or turn into 200.
+func TestFramingOfUnusualAnswers(t *testing.T) {
+	l := start(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/unnamed":
+			w.WriteHeader(520)
+		case "/empty":
+			w.WriteHeader(http.StatusNoContent)
+		}
+		_, _ = io.WriteString(w, "body")
+	})
+	_, r := dial(t, l, "HEAD / HTTP/1.1\r\nHost: a\r\n\r\nGET /unnamed HTTP/1.1\r\nHost: a\r\n\r\nGET /empty HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	var statuses []int
+	for _, method := range []string{"HEAD", "GET", "GET", "GET"} {
+		response, err := http.ReadResponse(r, &http.Request{Method: method})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		statuses = append(statuses, response.StatusCode)
+	}
+	require.Equal(t, []int{200, 500, 204, 200}, statuses)
+}
--- /dev/null
+++ b/internal/connection/stream/stream.go
@@ -0,0 +1,138 @@
+package stream
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxPieceBytes bounds what is handed to the library between two flushes.
+	// The library releases a buffer and uses it again if an unsent chunk and the
+	// next one exceed 64 KiB together.
+	maxPieceBytes = 32 << 10
+	// maxQueuedBytes is the amount of unsent data above which Write waits.
+	maxQueuedBytes = 1 << 20
+	// statusClass is the number of statuses of one class.
+	statusClass = 100
+)
+
+// ErrClosed is returned by Write after the caller has gone.
+var ErrClosed = errors.New("caller closed the connection")
+
+// Connection is the connection below an answer.
+type Connection interface {
+	// Closed reports whether the connection is closed.
+	Closed() bool
+	// Wait blocks until at most limit bytes wait to be sent. It returns an error
+	// once the connection is closed.
+	Wait(limit int64) error
+}
+
+// Writer writes one answer. It is an http.ResponseWriter and http.Flusher, and
+// not safe for concurrent use.
+type Writer struct {
+	response   http.ResponseWriter
+	connection Connection
+	// pending is the number of bytes written since the last flush.
+	pending int
+	// bodiless is true for an answer that has no body by its method or status.
+	bodiless    bool
+	wroteHeader bool
+}
+
+// New returns a writer for the answer. It returns w itself if w is a Writer,
+// which the listener passes to its handler.
+func New(w http.ResponseWriter) *Writer {
+	if s, ok := w.(*Writer); ok {
+		return s
+	}
+	return &Writer{response: w}
+}
+
+// NewWithConnection returns a writer for the answer to a request with the
+// method on the connection.
+func NewWithConnection(w http.ResponseWriter, method string, c Connection) *Writer {
+	return &Writer{response: w, connection: c, bodiless: method == http.MethodHead}
+}
+
+// Header returns the header that WriteHeader sends.
+func (w *Writer) Header() http.Header { return w.response.Header() }
+
+// WriteHeader sets the status. A status without a registered name is replaced
+// by the first one of its class, as the library would send 200 instead; RFC
+// 9110, section 15, lets a recipient treat both alike.
+func (w *Writer) WriteHeader(status int) {
+	if w.wroteHeader {
+		return
+	}
+	w.wroteHeader = true
+	if http.StatusText(status) == "" {
+		status = status / statusClass * statusClass
+	}
+	if status == http.StatusNoContent || status == http.StatusNotModified {
+		w.bodiless = true
+	}
+	// Without a length the library would send chunks, which an answer to HEAD
+	// must not have.
+	if w.bodiless && w.Header().Get("Content-Length") == "" {
+		w.Header().Set("Content-Length", "0")
+	}
+	w.response.WriteHeader(status)
+}
+
+// Write adds to the body. It blocks while the caller reads too slowly, and
+// returns ErrClosed after the caller has gone.
+func (w *Writer) Write(data []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if w.Closed() {
+		return 0, ErrClosed
+	}
+	if w.bodiless {
+		return len(data), nil
+	}
+	if w.connection == nil {
+		return w.response.Write(data)
+	}
+	written := 0
+	for written < len(data) {
+		n, err := w.writePiece(data[written:])
+		if err != nil {
+			return written, err
+		}
+		written += n
+	}
+	return written, nil
+}
+
+func (w *Writer) writePiece(data []byte) (int, error) {
+	if len(data) > maxPieceBytes {
+		data = data[:maxPieceBytes]
+	}
+	if w.pending+len(data) > maxPieceBytes {
+		w.Flush()
+	}
+	if err := w.connection.Wait(maxQueuedBytes); err != nil {
+		return 0, err
+	}
+	w.pending += len(data)
+	return w.response.Write(data)
+}
+
+// Flush sends what has been written.
+func (w *Writer) Flush() {
+	w.WriteHeader(http.StatusOK)
+	w.pending = 0
+	if f, ok := w.response.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// Started reports whether the header has been written.
+func (w *Writer) Started() bool { return w.wroteHeader }
+
+// Closed reports whether the caller has gone. It is always false on a
+// connection that is not the listener's.
+func (w *Writer) Closed() bool {
+	return w.connection != nil && w.connection.Closed()
+}
