--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,6 +31,7 @@
 // Engine is a stand-in engine. It is safe for concurrent use.
 type Engine struct {
 	options Options
+	started time.Time
 
 	mu        sync.Mutex
 	memory    *memory
@@ -67,6 +68,7 @@
 func New(options Options) *Engine {
 	e := &Engine{
 		options:   options,
+		started:   time.Now(),
 		sequences: make(map[string]*sequence),
 		slow:      1,
 		wake:      make(chan struct{}, 1),
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -168,7 +168,9 @@
 vllm:num_preemptions_total %d
 # TYPE vllm:cache_config_info gauge
 vllm:cache_config_info{block_size="%d",num_gpu_blocks="%d"} 1
-`, l.running, l.waiting, l.used, l.preemptions, blockTokens, e.memory.capacity)
+# TYPE process_start_time_seconds gauge
+process_start_time_seconds %.3f
+`, l.running, l.waiting, l.used, l.preemptions, blockTokens, e.memory.capacity, float64(e.started.UnixMilli())/1000)
 }
 
 // state is the answer to GET /admin/state, without lag.
