--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -81,7 +81,7 @@
 	measurements, runError := b.Run(ctx)
 	violations := 0
 	for _, m := range measurements {
-		violations += m.Result.Violations()
+		violations += m.Violations()
 	}
 	if violations > 0 {
 		runError = errors.CombineErrors(runError, errors.Newf("%d violations of guarantees, see the report", violations))
--- a/internal/standin/benchmark/benchmark.go
+++ b/internal/standin/benchmark/benchmark.go
@@ -49,9 +49,18 @@
 	Scenario    string
 	Policy      string
 	Preemptions int
-	Result      *loadgen.Result
+	// LateWork counts the sequences that a data centre began later than 5 s after
+	// it went out of service (G3).
+	LateWork int
+	// Cores is the mean number of processors that all gateways and all sidecars
+	// used, in this order.
+	Cores  [2]float64
+	Result *loadgen.Result
 }
 
+// Violations returns the number of observations that the guarantees rule out.
+func (m *Measurement) Violations() int { return m.LateWork + m.Result.Violations() }
+
 // Benchmark runs scenarios.
 type Benchmark struct {
 	options Options
@@ -179,5 +188,5 @@
 	_, _ = fmt.Fprintf(b.options.Progress,
 		"%-13s %-18s %-17s sent %5d completed %5d refused %4d incomplete %3d broken %3d unfinished %3d violations %d gap p99 %.0f ms\n",
 		m.Deployment, m.Scenario, m.Policy, r.Sent, r.Completed, r.RefusedTotal(), r.Incomplete, r.Broken, r.Unfinished,
-		r.Violations(), float64(r.Gap.ValueAtQuantile(99))/1000)
+		m.Violations(), float64(r.Gap.ValueAtQuantile(99))/1000)
 }
--- a/internal/standin/benchmark/scenario.go
+++ b/internal/standin/benchmark/scenario.go
@@ -23,6 +23,9 @@
 	// thirdOf is the divisor that selects a third of the engines, which is one
 	// data centre.
 	thirdOf = 3
+	// outOfServiceBound is the time after which a data centre out of service
+	// receives no new work (G3).
+	outOfServiceBound = 5 * time.Second
 )
 
 // scenario is a load with disturbances.
@@ -114,8 +117,41 @@
 	return nil
 }
 
+// takeOut takes the first data centre out of service and, when the bound of G3
+// has passed, notes how much its engines have begun.
 func takeOut(ctx context.Context, s *session) error {
-	return s.publish(ctx, s.deployment.Spec().DataCentres[:1])
+	if err := s.publish(ctx, s.deployment.Spec().DataCentres[:1]); err != nil {
+		return err
+	}
+	time.Sleep(outOfServiceBound)
+	begun, err := s.begunOutOfService(ctx)
+	s.begunAtBound = begun
+	return err
+}
+
+// bringBack returns the data centre to service after it has noted how much its
+// engines have begun in the meantime.
+func bringBack(ctx context.Context, s *session) error {
+	begun, err := s.begunOutOfService(ctx)
+	if err != nil {
+		return err
+	}
+	s.lateWork = int(begun - s.begunAtBound)
+	return s.publish(ctx, nil)
 }
 
-func bringBack(ctx context.Context, s *session) error { return s.publish(ctx, nil) }
+// begunOutOfService returns the number of sequences that the first data
+// centre's engines have begun.
+func (s *session) begunOutOfService(ctx context.Context) (uint64, error) {
+	states, err := s.states(ctx)
+	if err != nil {
+		return 0, err
+	}
+	begun := uint64(0)
+	for i, e := range s.engines() {
+		if e.DataCentre == s.deployment.Spec().DataCentres[0] {
+			begun += states[i].Executed
+		}
+	}
+	return begun, nil
+}
--- a/internal/standin/benchmark/session.go
+++ b/internal/standin/benchmark/session.go
@@ -35,6 +35,11 @@
 	policy     fleet.Policy
 	files      string
 	profile    engine.Profile
+
+	// begunAtBound and lateWork belong to the data centre move of the running
+	// scenario.
+	begunAtBound uint64
+	lateWork     int
 }
 
 // fault is the part of an engine's fault that the scenarios use.
@@ -48,6 +53,7 @@
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
 	Preemptions uint64 `json:"preemptions"`
+	Executed    uint64 `json:"executed"`
 }
 
 func (s *session) engines() []instance.Instance {
@@ -127,6 +133,9 @@
 	if err != nil {
 		return nil, err
 	}
+	s.lateWork = 0
+	cpuBefore := s.processorTimes()
+	began := time.Now()
 	duration := s.benchmark.options.Duration
 	actionsDone := s.startActions(ctx, c, duration)
 	shape := s.shape(c, s.benchmark.options.Seed, duration)
@@ -138,7 +147,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Measurement{Scenario: c.name, Result: result, Preemptions: preemptions(before, after)}, s.settle(ctx)
+	m := &Measurement{
+		Scenario: c.name, Result: result, Preemptions: preemptions(before, after), LateWork: s.lateWork,
+	}
+	elapsed := time.Since(began)
+	for role, used := range s.processorTimes() {
+		m.Cores[role] = (used - cpuBefore[role]).Seconds() / elapsed.Seconds()
+	}
+	return m, s.settle(ctx)
+}
+
+// processorTimes returns the processor time of all gateways and of all sidecars.
+func (s *session) processorTimes() (times [2]time.Duration) {
+	return [2]time.Duration{
+		s.deployment.ProcessorTime(deployment.RoleGateway), s.deployment.ProcessorTime(deployment.RoleSidecar),
+	}
 }
 
 // startActions runs the scenario's disturbances at their times.
--- a/internal/standin/benchreport/benchreport.go
+++ b/internal/standin/benchreport/benchreport.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"time"
 
@@ -54,6 +55,9 @@
 		{"tokens/s", func(m *benchmark.Measurement) string {
 			return fmt.Sprintf("%.0f", float64(m.Result.Tokens)/m.Result.Duration.Seconds())
 		}},
+		{"lowest tokens/s in 3 s", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%.0f", lowestRate(m.Result.TokensBySecond, int(m.Result.Duration/time.Second)))
+		}},
 		{"preemptions", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Preemptions) }},
 		{"lost / doubled tokens", func(m *benchmark.Measurement) string {
 			return fmt.Sprintf("%d / %d", m.Result.LostTokens, m.Result.DoubledTokens)
@@ -69,10 +73,34 @@
 			r := m.Result
 			return fmt.Sprintf("%d / %d / %d", r.OrdersDoubled, r.OrdersLost, r.OrdersFalselyRefused)
 		}},
+		{"late work in a data centre out of service", func(m *benchmark.Measurement) string {
+			return fmt.Sprint(m.LateWork)
+		}},
+		{"gateways / sidecars cores", func(m *benchmark.Measurement) string {
+			return fmt.Sprintf("%.2f / %.2f", m.Cores[0], m.Cores[1])
+		}},
 		{"not sent", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Skipped) }},
 	}
 }
 
+// lowestRate returns the lowest mean of three consecutive seconds of the load,
+// without its first three, in which the first answers begin.
+func lowestRate(counts []int, seconds int) float64 {
+	const window = 3
+	lowest := math.Inf(1)
+	for i := window; i+window <= min(seconds, len(counts)); i++ {
+		sum := 0
+		for _, n := range counts[i : i+window] {
+			sum += n
+		}
+		lowest = min(lowest, float64(sum)/window)
+	}
+	if math.IsInf(lowest, 1) {
+		return 0
+	}
+	return lowest
+}
+
 func percent(part, whole int) string {
 	if whole == 0 {
 		return "-"
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -108,21 +108,21 @@
 func (d *Deployment) startAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	if err := d.startTier(ctx, tierUpstream); err != nil {
+	if err := d.startRole(ctx, roleStandIn); err != nil {
 		return err
 	}
 	if err := d.PublishFolder(ctx, d.plan.Spec.folder); err != nil {
 		return err
 	}
-	if err := d.startTier(ctx, tierGateway); err != nil {
+	if err := d.startRole(ctx, RoleGateway); err != nil {
 		return err
 	}
-	return d.startTier(ctx, tierSidecar)
+	return d.startRole(ctx, RoleSidecar)
 }
 
-func (d *Deployment) startTier(ctx context.Context, tier int) error {
+func (d *Deployment) startRole(ctx context.Context, role int) error {
 	for _, p := range d.plan.Processes {
-		if p.Tier != tier {
+		if p.Role != role {
 			continue
 		}
 		if err := p.start(filepath.Join(d.options.Folder, logFolder)); err != nil {
@@ -133,7 +133,7 @@
 		return err
 	}
 	for _, p := range d.plan.Processes {
-		if p.Tier != tier {
+		if p.Role != role {
 			continue
 		}
 		if err := d.awaitReady(ctx, p); err != nil {
@@ -218,8 +218,8 @@
 // them. It returns an error that names the processes that had to be killed.
 func (d *Deployment) Stop() error {
 	var late []string
-	for tier := range tierCount {
-		late = append(late, d.stopTier(tier)...)
+	for role := range roleCount {
+		late = append(late, d.stopRole(role)...)
 	}
 	if err := os.Remove(filepath.Join(d.options.Folder, processesName)); err != nil && !os.IsNotExist(err) {
 		return errors.Wrap(err, "remove list of processes")
@@ -230,15 +230,15 @@
 	return nil
 }
 
-func (d *Deployment) stopTier(tier int) (late []string) {
+func (d *Deployment) stopRole(role int) (late []string) {
 	for _, p := range d.plan.Processes {
-		if p.Tier == tier {
+		if p.Role == role {
 			_ = p.Signal(syscall.SIGTERM)
 		}
 	}
 	deadline := time.Now().Add(d.options.ShutdownNotice + killMargin)
 	for _, p := range d.plan.Processes {
-		if p.Tier != tier || p.await(deadline) {
+		if p.Role != role || p.await(deadline) {
 			continue
 		}
 		late = append(late, p.Name)
@@ -304,3 +304,14 @@
 	}
 	return n
 }
+
+// ProcessorTime returns the processor time of all running processes of the role.
+func (d *Deployment) ProcessorTime(role int) time.Duration {
+	total := time.Duration(0)
+	for _, p := range d.plan.Processes {
+		if p.Role == role {
+			total += p.processorTime()
+		}
+	}
+	return total
+}
--- a/internal/standin/deployment/plan.go
+++ b/internal/standin/deployment/plan.go
@@ -70,7 +70,7 @@
 	}
 	p.plan.Platform = address
 	p.add(&Process{
-		Name: "platform", Tier: tierUpstream, Program: p.program("standin"), Address: address,
+		Name: "platform", Role: roleStandIn, Program: p.program("standin"), Address: address,
 		Arguments: []string{
 			"platform", "--address", address, "--instances", p.path(instancesName),
 			"--lag", p.options.InstanceListLag.String(),
@@ -111,10 +111,10 @@
 		UpstreamAddress: upstream, SidecarAddress: s.PeerAddress, Incarnation: 1, State: instance.StateLive,
 	})
 	p.add(&Process{
-		Name: slot, Tier: tierUpstream, Program: p.program("standin"), Address: upstream,
+		Name: slot, Role: roleStandIn, Program: p.program("standin"), Address: upstream,
 		Arguments: p.upstreamArguments(service, slot, upstream),
 	})
-	return p.addSystemProcess("sidecar", tierSidecar, s)
+	return p.addSystemProcess("sidecar", RoleSidecar, s)
 }
 
 func (p *planner) upstreamArguments(service, name, address string) []string {
@@ -142,7 +142,7 @@
 		return err
 	}
 	p.plan.Gateways = append(p.plan.Gateways, s.CallerAddress)
-	return p.addSystemProcess("gateway", tierGateway, s)
+	return p.addSystemProcess("gateway", RoleGateway, s)
 }
 
 func (p *planner) commonSettings(name, dataCentre string) *settings.Settings {
@@ -178,14 +178,14 @@
 }
 
 // addSystemProcess writes the settings and adds the process that reads them.
-func (p *planner) addSystemProcess(role string, tier int, s *settings.Settings) error {
+func (p *planner) addSystemProcess(command string, role int, s *settings.Settings) error {
 	file := p.path(settingsFolder, s.Name+".json")
 	if err := writeJSON(file, s); err != nil {
 		return err
 	}
 	p.add(&Process{
-		Name: s.Name, Tier: tier, Program: p.program("flamingohold"),
-		Arguments: []string{role, "--settings", file},
+		Name: s.Name, Role: role, Program: p.program("flamingohold"),
+		Arguments: []string{command, "--settings", file},
 		Address:   s.PeerAddress, AdminAddress: s.AdminAddress,
 	})
 	return nil
--- a/internal/standin/deployment/process.go
+++ b/internal/standin/deployment/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -12,12 +13,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Tiers of processes, in the order in which they are stopped.
+// Roles of processes, in the order in which they are stopped.
 const (
-	tierGateway = iota
-	tierSidecar
-	tierUpstream
-	tierCount
+	RoleGateway = iota
+	RoleSidecar
+	roleStandIn
+	roleCount
 )
 
 const exitPollInterval = 20 * time.Millisecond
@@ -25,7 +26,8 @@
 // Process is one process of a deployment.
 type Process struct {
 	Name string `json:"name"`
-	Tier int    `json:"tier"`
+	// Role is one of the Role constants.
+	Role int `json:"role"`
 	// Program and Arguments start the process.
 	Program   string   `json:"program"`
 	Arguments []string `json:"arguments"`
@@ -81,6 +83,24 @@
 	return fields[startField], nil
 }
 
+// processorTime returns the time that the process has spent on processors, 0 if
+// it has ended.
+func (p *Process) processorTime() time.Duration {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID))
+	if err != nil || !p.Running() {
+		return 0
+	}
+	text := string(content)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	const userField, systemField = 11, 12
+	// Linux counts these fields in hundredths of a second on all processors that
+	// Go supports.
+	const tick = 10 * time.Millisecond
+	user, _ := strconv.Atoi(fields[userField])
+	system, _ := strconv.Atoi(fields[systemField])
+	return time.Duration(user+system) * tick
+}
+
 // Running reports whether the process still runs.
 func (p *Process) Running() bool {
 	if p.PID == 0 {
