Split client account limits by demand

A gateway uses an equal share without a lease. An account that needs more is reported to its home gateway, chosen by rendezvous hashing, which grants leases of at most the whole limit in sum. A second home during a loss of the first was ruled out: it would add a whole limit for each side of a partition. Reports of every account were ruled out because idle ones would fill the control budget at 370 gateways.

--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -1,28 +1,151 @@
 package quota
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingohold/flamingohold/internal/process/demand"
 	"github.com/flamingohold/flamingohold/internal/version/account"
 )
 
+const shardCount = 16
+
 // Limiter holds this gateway's share of the account limits. It is safe for
 // concurrent use.
-type Limiter struct{}
+type Limiter struct {
+	gateways atomic.Int64
+	shards   [shardCount]shard
+	// short receives a value when a request was refused.
+	short chan struct{}
+}
+
+type shard struct {
+	mu     sync.Mutex
+	byName map[string]*bucket
+}
 
 // New returns a limiter that assumes the number of gateways until it learns
 // shares from demand.
 func New(gateways int) *Limiter {
-	_ = gateways
-	return &Limiter{}
+	l := &Limiter{short: make(chan struct{}, 1)}
+	for i := range l.shards {
+		l.shards[i].byName = make(map[string]*bucket)
+	}
+	l.SetGateways(gateways)
+	return l
 }
 
+// SetGateways replaces the number of gateways, at least 1.
+func (l *Limiter) SetGateways(gateways int) { l.gateways.Store(int64(max(1, gateways))) }
+
 // Acquire takes one request of the account. If it is refused, the result is
 // the time after which a retry may succeed. Every successful Acquire must be
 // followed by one Release.
-func (l *Limiter) Acquire(*account.Account, time.Time) (retryAfter time.Duration, ok bool) {
-	return 0, true
+func (l *Limiter) Acquire(a *account.Account, now time.Time) (retryAfter time.Duration, ok bool) {
+	if a.RequestsPerSecond <= 0 && a.Concurrency <= 0 {
+		return 0, true
+	}
+	gateways := int(l.gateways.Load())
+	s := l.shard(a.Name)
+	s.mu.Lock()
+	retryAfter, ok = s.bucket(a, gateways, now).acquire(gateways, now)
+	s.mu.Unlock()
+	if !ok {
+		l.signal()
+	}
+	return retryAfter, ok
 }
 
 // Release ends a request of the account.
-func (l *Limiter) Release(name string, now time.Time) {}
+func (l *Limiter) Release(name string, _ time.Time) {
+	s := l.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.byName[name]; b != nil {
+		b.inUse = max(0, b.inUse-1)
+	}
+}
+
+// Short receives a value after requests were refused, so that the demand can be
+// reported at once.
+func (l *Limiter) Short() <-chan struct{} { return l.short }
+
+// Demand returns the demand of the accounts that need more than their equal
+// share, under the configuration of the version. It forgets accounts that are
+// not used.
+func (l *Limiter) Demand(version uint64, now time.Time) []demand.Account {
+	var accounts []demand.Account
+	gateways := int(l.gateways.Load())
+	for i := range l.shards {
+		accounts = l.shards[i].demand(accounts, version, gateways, now)
+	}
+	return accounts
+}
+
+// Apply sets the shares that the home granted in answer to a report that was
+// sent at the time.
+func (l *Limiter) Apply(shares []demand.Share, sent time.Time) {
+	for _, share := range shares {
+		l.shard(share.Name).apply(share, sent.Add(demand.Lease))
+	}
+}
+
+// Accounts returns the number of accounts with state.
+func (l *Limiter) Accounts() int {
+	n := 0
+	for i := range l.shards {
+		l.shards[i].mu.Lock()
+		n += len(l.shards[i].byName)
+		l.shards[i].mu.Unlock()
+	}
+	return n
+}
+
+func (l *Limiter) signal() {
+	select {
+	case l.short <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Limiter) shard(name string) *shard {
+	return &l.shards[xxhash.Sum64String(name)%shardCount]
+}
+
+func (s *shard) bucket(a *account.Account, gateways int, now time.Time) *bucket {
+	b := s.byName[a.Name]
+	if b == nil {
+		b = newBucket(*a, gateways, now)
+		s.byName[a.Name] = b
+	}
+	b.limits = *a
+	return b
+}
+
+func (s *shard) demand(accounts []demand.Account, version uint64, gateways int, now time.Time) []demand.Account {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, b := range s.byName {
+		if d, ok := b.report(version, gateways, now); ok {
+			accounts = append(accounts, d)
+		}
+		if b.idle(now) {
+			delete(s.byName, name)
+		}
+	}
+	return accounts
+}
+
+func (s *shard) apply(share demand.Share, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.byName[share.Name]
+	if b == nil || until.Before(b.leaseUntil) {
+		return
+	}
+	b.lease = share
+	b.leaseUntil = until
+}
