--- /dev/null
+++ b/internal/process/retrybudget/retrybudget_test.go
@@ -0,0 +1,54 @@
+package retrybudget
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries that multiply the load of a failing upstream: they
+// never exceed the reserve and a tenth of the successes.
+func TestRetriesAreAFractionOfSuccesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		successes, retries := 0, 0
+		for range 300 {
+			if rapid.Bool().Draw(t, "success") {
+				b.Success()
+				successes++
+			} else if b.Spend() {
+				retries++
+			}
+			require.LessOrEqual(t, float64(retries), reserve+perSuccess*float64(successes)+1e-6)
+		}
+	})
+}
+
+// Guards against successes that are saved up and spent in one burst, and
+// against a budget that never recovers.
+func TestBudgetIsBoundedAndRecovers(t *testing.T) {
+	b := New()
+	for range 1000 {
+		b.Success()
+	}
+	spent := 0
+	for b.Spend() {
+		spent++
+	}
+	require.Equal(t, reserve, spent)
+	for range 11 {
+		b.Success()
+	}
+	require.True(t, b.Spend())
+	require.False(t, b.Spend())
+}
+
+func BenchmarkSuccessSpend(b *testing.B) {
+	budget := New()
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Success()
+		budget.Spend()
+	}
+}
