Assign models and adapters to slots

Processes must agree on what each slot loads without messages. Names are placed by rendezvous hashing with a bound on the load of each bin.

--- /dev/null
+++ b/internal/process/placement/placement.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Plan is the assignment for one service. It is an immutable value.
+type Plan struct {
+	// modelOf maps a slot to its model.
+	modelOf map[string]string
+	// adaptersOf maps a slot to its adapters in the order in which the slot
+	// loads them.
+	adaptersOf map[string][]string
+}
+
+// New returns the plan for models, adapters and slots in any order. Each adapter
+// is on the given number of slots.
+func New(models, adapters, slots []string, copies int) *Plan {
+	p := &Plan{modelOf: make(map[string]string), adaptersOf: make(map[string][]string)}
+	for slot, chosen := range assign(slots, models, 1) {
+		p.modelOf[slot] = chosen[0]
+	}
+	for adapter, chosen := range assign(adapters, slots, copies) {
+		for _, slot := range chosen {
+			p.adaptersOf[slot] = append(p.adaptersOf[slot], adapter)
+		}
+	}
+	for slot, list := range p.adaptersOf {
+		slices.SortFunc(list, byScore(slot))
+	}
+	return p
+}
+
+// Model returns the model of the slot, empty if there is none.
+func (p *Plan) Model(slot string) string { return p.modelOf[slot] }
+
+// Adapters returns the adapters of the slot in the order in which it loads them.
+// The order differs between slots, so that they don't all read the same file at
+// once.
+func (p *Plan) Adapters(slot string) []string { return slices.Clone(p.adaptersOf[slot]) }
+
+// Rate returns one sidecar's share in bytes per second of the weight store's
+// rate when the given number of sidecars is live. The shares of all live
+// sidecars add up to at most the rate. It is 0, no limit, if the rate is.
+func (p *Plan) Rate(bytesPerSecond int64, live int) int64 {
+	if bytesPerSecond <= 0 {
+		return 0
+	}
+	return max(1, bytesPerSecond/int64(max(1, live)))
+}
+
+// Delay returns how long the slot waits before it reads from the weight store
+// after a change, from 0 to spread. It is the same for the same slot and
+// version.
+func (p *Plan) Delay(slot string, version uint64, spread time.Duration) time.Duration {
+	if spread <= 0 {
+		return 0
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(slot), version))
+	return time.Duration(random.Int64N(int64(spread)))
+}
+
+// assign gives each item the bins with the highest scores that have room. The
+// result has no entry for items if there are no bins.
+func assign(items, bins []string, copies int) map[string][]string {
+	items, bins = distinct(items), distinct(bins)
+	copies = min(copies, len(bins))
+	if copies <= 0 {
+		return nil
+	}
+	room := (len(items)*copies + len(bins) - 1) / len(bins)
+	held := make(map[string]int, len(bins))
+	result := make(map[string][]string, len(items))
+	for _, item := range items {
+		result[item] = choose(item, bins, copies, room, held)
+	}
+	return result
+}
+
+// choose returns the copies bins with the highest scores that have room. Bins
+// without room follow, for the last items, which may find too few.
+func choose(item string, bins []string, copies, room int, held map[string]int) []string {
+	order := slices.Clone(bins)
+	better := byScore(item)
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(compareBool(held[a] >= room, held[b] >= room), better(a, b))
+	})
+	chosen := order[:copies]
+	for _, bin := range chosen {
+		held[bin]++
+	}
+	return chosen
+}
+
+// byScore orders names by their hash with the key, highest first.
+func byScore(key string) func(a, b string) int {
+	return func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(key, b), score(key, a)), cmp.Compare(a, b))
+	}
+}
+
+func score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// distinct returns the names sorted by hash, so that the first to choose are
+// not the first in the alphabet.
+func distinct(names []string) []string {
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, byScore(""))
+	return slices.Compact(sorted)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
