--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 bench: build ## Loads deployments of the real sizes and writes bench/report.md and bench/report.html.
 	$(BIN)/standin load --dir examples $(BENCH)
+
+microbench: ## Runs the benchmarks beside the code.
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./pkg/...
