Count only bypasses in which other work was handed out

A sidecar that looks at the queue every 50 ms while nothing fits used up the bypasses of the waiting work within a second, after which small work waited behind it although it fitted. Seen to fail in the test before the change.

--- a/internal/process/fairqueue/fairqueue.go
+++ b/internal/process/fairqueue/fairqueue.go
@@ -111,21 +111,29 @@
 func (q *Queue) Select(admit func(work.Work) bool) (work.Work, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, l := range q.candidates() {
+	lines := q.candidates()
+	for i, l := range lines {
 		e := l.waiting[0]
 		if admit(e.work) {
+			pass(lines[:i])
 			e.offered = true
 			q.remove(e)
 			return e.work, true
 		}
-		e.bypasses++
-		if e.bypasses > maxBypasses {
+		if e.bypasses >= maxBypasses {
 			break
 		}
 	}
 	return work.Work{}, false
 }
 
+// pass records that later work was handed out before the heads of the lines.
+func pass(lines []*line) {
+	for _, l := range lines {
+		l.waiting[0].bypasses++
+	}
+}
+
 // Remove takes the work out, whether it was handed out, revoked or expired, and
 // reports whether it was there. The account is charged for work that Next
 // returned and Expired did not.
--- a/internal/process/fairqueue/fairqueue_test.go
+++ b/internal/process/fairqueue/fairqueue_test.go
@@ -201,13 +201,18 @@
 }
 
 // Guards against large work that never gets its turn because small work always
-// fits.
+// fits, and against looks at the queue that count although nothing was handed
+// out.
 func TestSelectDoesNotStarveLargeWork(t *testing.T) {
 	q := New(1000, true)
 	require.True(t, q.Push(item("large", 0, 1), start))
 	for i := range 100 {
 		require.True(t, q.Push(item("small", i, 1), start))
 	}
+	for range 100 {
+		_, ok := q.Select(func(work.Work) bool { return false })
+		require.False(t, ok)
+	}
 	passed := 0
 	for {
 		_, ok := q.Select(func(w work.Work) bool { return w.Account == "small" })
