--- /dev/null
+++ b/cmd/flamingohold/main_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/decisions"
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+)
+
+func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"flamingohold": main}) }
+
+// fakeProcess answers what gateways and sidecars answer to operators.
+func fakeProcess(t testing.TB, name, hash string, records ...decisions.Record) string {
+	ring := decisions.New(name, decisions.DefaultCapacity)
+	for _, r := range records {
+		ring.Add(r)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(decisions.Path, ring.Handler())
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(load.Report{
+			Instance: name, DataCentre: "zg-a", Phase: load.PhaseReady, Running: 3, Limit: 8, StepMillis: 41.5,
+			ConfigurationVersion: 7, ConfigurationHash: hash,
+		})
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func at(seconds int64, requestID, step, choice string) decisions.Record {
+	return decisions.Record{Time: time.Unix(seconds, 0), RequestID: requestID, Step: step, Choice: choice}
+}
+
+// Guards against a change of what operators' scripts rely on: output, exit
+// codes, and the order of flags, environment and file.
+func TestScripts(t *testing.T) {
+	route := at(1, "r-1", "route", "lm-1")
+	route.Peer, route.Reason, route.Account = "lm-1", "lower pressure", "baker"
+	route.Observations = []decisions.Observation{{Subject: "lm-1", Name: "pressure", Value: 0.25}, {Subject: "lm-2", Name: "pressure", Value: 1}}
+	gateway := fakeProcess(t, "gateway-1", "aaaaaaaaaaaaaaaaaaaa", route, at(4, "r-1", "resume", "after token 9"), at(2, "r-2", "route", "lm-2"))
+	sidecar := fakeProcess(t, "lm-1", "aaaaaaaaaaaaaaaaaaaa", at(3, "r-1", "admit", "running"))
+	other := fakeProcess(t, "lm-2", "bbbbbbbbbbbbbbbbbbbb")
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("GATEWAY", gateway)
+			e.Setenv("SIDECAR", sidecar)
+			e.Setenv("OTHER", other)
+			return nil
+		},
+		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+	})
+}
+
+// Guards against a flag that does not replace the environment, and against an
+// environment that does not replace the file.
+func TestSettingsPrecedence(t *testing.T) {
+	file := t.TempDir() + "/settings.json"
+	require.NoError(t, os.WriteFile(file, []byte(`{"name":"file","region":"file","data_centre":"file"}`), 0o600))
+	p := &program{environment: func(name string) (string, bool) {
+		value, ok := map[string]string{"FLAMINGOHOLD_SETTINGS": file, "FLAMINGOHOLD_REGION": "env", "FLAMINGOHOLD_DATA_CENTRE": "env"}[name]
+		return value, ok
+	}}
+	o := &processOptions{values: make(map[string]*string)}
+	for _, f := range settings.Fields() {
+		o.values[f.Name] = new(string)
+	}
+	*o.values["data_centre"] = "flag"
+	s, err := p.loadSettings(o)
+	require.NoError(t, err)
+	require.Equal(t, []string{"file", "env", "flag"}, []string{s.Name, s.Region, s.DataCentre})
+}
--- /dev/null
+++ b/cmd/flamingohold/status.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/flamingohold/flamingohold/internal/process/load"
+)
+
+const (
+	statePath = "/v1/state"
+	// shortHash is the number of hexadecimal digits of a hash in tables.
+	shortHash = 12
+)
+
+// state is what gateways and sidecars answer; gateways have a name instead of
+// an instance.
+type state struct {
+	load.Report
+	Name string `json:"name"`
+}
+
+func (p *program) statusCommand() command {
+	flags := newCommand("status", "Show the state of the given processes as a table.", `
+    flamingohold status --peer-secret-file secret --at 10.0.0.7:9200 --at 10.0.0.8:9200
+    FLAMINGOHOLD_AT=10.0.0.7:9200,10.0.0.8:9200 flamingohold status -s secret
+  The exit code is 1 if a process does not answer or if two configurations are in force.`)
+	o := new(askOptions)
+	o.add(flags, "peer or admin address of a process")
+	return command{flags, func() int { return p.status(o) }}
+}
+
+func (p *program) status(o *askOptions) int {
+	if !o.complete(p.environment) {
+		_, _ = fmt.Fprintln(p.stderr, "flamingohold: status needs --at")
+		return exitUsage
+	}
+	secret, err := o.secret()
+	if err != nil {
+		return p.fail(err)
+	}
+	replies := askAll[state](context.Background(), o.addresses, secret, statePath)
+	if err := p.printStates(replies); err != nil {
+		return p.fail(err)
+	}
+	return p.judge(replies)
+}
+
+func (p *program) printStates(replies []reply[state]) error {
+	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "ADDRESS\tNAME\tDATA CENTRE\tPHASE\tRUNNING\tQUEUED\tLIMIT\tSTEP MS\tVERSION\tHASH")
+	for _, r := range replies {
+		if r.err != nil {
+			_, _ = fmt.Fprintf(table, "%s\t-\t-\tno answer\t-\t-\t-\t-\t-\t-\n", r.address)
+			continue
+		}
+		s := r.value
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t%d\t%.*s\n", r.address, cmp.Or(s.Instance, s.Name, "-"),
+			cmp.Or(s.DataCentre, "-"), cmp.Or(s.Phase, "-"), s.Running, s.Queued, s.Limit, s.StepMillis,
+			s.ConfigurationVersion, shortHash, cmp.Or(s.ConfigurationHash, "-"))
+	}
+	return table.Flush()
+}
+
+// judge reports processes without an answer and different configurations, and
+// returns the exit code.
+func (p *program) judge(replies []reply[state]) int {
+	hashes := make(map[string]bool)
+	code := exitSuccess
+	for _, r := range replies {
+		if r.err != nil {
+			code = p.fail(r.err)
+			continue
+		}
+		hashes[r.value.ConfigurationHash] = true
+	}
+	if len(hashes) > 1 {
+		_, _ = fmt.Fprintf(p.stderr, "flamingohold: %d different configurations are in force\n", len(hashes))
+		code = exitFailure
+	}
+	return code
+}
--- a/internal/process/configwatch/watcher.go
+++ b/internal/process/configwatch/watcher.go
@@ -33,9 +33,14 @@
 }
 
 // OptionsFrom returns the options of a process with the settings and the peer
-// secret. Only gateways name the configuration service in their settings.
+// secret. A sidecar does not read the configuration service, whose load would
+// otherwise grow with the number of upstreams.
 func OptionsFrom(s *settings.Settings, secret string) Options {
-	return Options{Service: s.ConfigurationService, Peers: s.GatewayPeers, Self: s.PeerAddress, Secret: secret}
+	o := Options{Service: s.ConfigurationService, Peers: s.GatewayPeers, Self: s.PeerAddress, Secret: secret}
+	if s.Service != "" {
+		o.Service = ""
+	}
+	return o
 }
 
 // Watcher keeps the newest configuration in force. It is safe for concurrent
--- /dev/null
+++ b/internal/process/settings/override.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Field names one setting.
+type Field struct {
+	// Name is the field's name in the settings file, in snake case.
+	Name string
+	// Help is one line for operators.
+	Help string
+}
+
+// Fields returns the settings in the order of the file.
+func Fields() []Field {
+	var fields []Field
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+		fields = append(fields, Field{fieldName(f), f.Tag.Get("help")})
+	}
+	return fields
+}
+
+// Override returns a copy in which the values that the function finds by field
+// name replace those of the file. Lists are separated by commas. The error names
+// every field whose value has the wrong type.
+func (s *Settings) Override(lookup func(name string) (string, bool)) (*Settings, error) {
+	changed := *s
+	target := reflect.ValueOf(&changed).Elem()
+	var failure error
+	for _, f := range reflect.VisibleFields(target.Type()) {
+		text, ok := lookup(fieldName(f))
+		if !ok {
+			continue
+		}
+		if err := assign(target.FieldByIndex(f.Index), text); err != nil {
+			failure = errors.CombineErrors(failure, errors.Wrapf(err, "setting %s", fieldName(f)))
+		}
+	}
+	if failure != nil {
+		return nil, failure
+	}
+	return changed.withDefaults(), nil
+}
+
+func fieldName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func assign(target reflect.Value, text string) error {
+	switch target.Interface().(type) {
+	case string:
+		target.SetString(text)
+	case []string:
+		target.Set(reflect.ValueOf(strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })))
+	case int:
+		value, err := strconv.ParseInt(text, 10, 0)
+		if err != nil {
+			return err
+		}
+		target.SetInt(value)
+	case uint64:
+		value, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return err
+		}
+		target.SetUint(value)
+	default:
+		return errors.Newf("cannot be set by text")
+	}
+	return nil
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -19,50 +19,50 @@
 // Settings is the content of a process's settings file.
 type Settings struct {
 	// Name identifies the process in logs, traces and errors.
-	Name       string `json:"name"`
-	DataCentre string `json:"data_centre"`
-	Region     string `json:"region"`
+	Name       string `json:"name" help:"name of the process in logs, traces and errors"`
+	DataCentre string `json:"data_centre" help:"data centre of the process"`
+	Region     string `json:"region" help:"region of the process"`
 
 	// CallerAddress is where a gateway accepts callers.
-	CallerAddress string `json:"caller_address,omitempty"`
+	CallerAddress string `json:"caller_address,omitempty" help:"address at which a gateway accepts callers"`
 	// PeerAddress is where the system's own processes connect. Callers must not
 	// be able to reach it.
-	PeerAddress string `json:"peer_address"`
+	PeerAddress string `json:"peer_address" help:"address at which the other processes connect"`
 	// AdminAddress serves health, metrics and profiles to operators.
-	AdminAddress string `json:"admin_address"`
+	AdminAddress string `json:"admin_address" help:"address of health, metrics, decisions and profiles"`
 	// PeerSecretFile holds the bearer secret shared by the system's processes.
-	PeerSecretFile string `json:"peer_secret_file"`
+	PeerSecretFile string `json:"peer_secret_file" help:"file with the secret shared by the processes"`
 
 	// ConfigurationService and InstanceList are the platform's addresses.
-	ConfigurationService string `json:"configuration_service,omitempty"`
-	InstanceList         string `json:"instance_list,omitempty"`
+	ConfigurationService string `json:"configuration_service,omitempty" help:"address of the configuration service, for gateways"`
+	InstanceList         string `json:"instance_list,omitempty" help:"address of the instance list"`
 	// GatewayPeers lists the peer addresses of gateways that a new process asks
 	// for the configuration.
-	GatewayPeers []string `json:"gateway_peers,omitempty"`
+	GatewayPeers []string `json:"gateway_peers,omitempty" help:"peer addresses of gateways, separated by commas"`
 
 	// Service, Instance, Slot, SlotIncarnation and UpstreamAddress tell a
 	// sidecar which upstream it stands beside.
-	Service         string `json:"service,omitempty"`
-	Instance        string `json:"instance,omitempty"`
-	Slot            string `json:"slot,omitempty"`
-	SlotIncarnation uint64 `json:"slot_incarnation,omitempty"`
-	UpstreamAddress string `json:"upstream_address,omitempty"`
+	Service         string `json:"service,omitempty" help:"service of a sidecar"`
+	Instance        string `json:"instance,omitempty" help:"instance of a sidecar"`
+	Slot            string `json:"slot,omitempty" help:"slot of a sidecar"`
+	SlotIncarnation uint64 `json:"slot_incarnation,omitempty" help:"incarnation of the instance in the slot"`
+	UpstreamAddress string `json:"upstream_address,omitempty" help:"address of the upstream beside a sidecar"`
 
 	// LogLevel is a zerolog level name, "info" if empty.
-	LogLevel string `json:"log_level,omitempty"`
+	LogLevel string `json:"log_level,omitempty" help:"debug, info, warn or error"`
 	// TraceFile receives spans as JSON lines, none if empty.
-	TraceFile string `json:"trace_file,omitempty"`
+	TraceFile string `json:"trace_file,omitempty" help:"file that receives spans as JSON lines"`
 	// OTLPEndpoint receives spans by OTLP over HTTP ("ip:port"), none if empty.
-	OTLPEndpoint string `json:"otlp_endpoint,omitempty"`
+	OTLPEndpoint string `json:"otlp_endpoint,omitempty" help:"address that receives spans by OTLP over HTTP"`
 
 	// MaxBodyBytes bounds a request body, 0 for 8 MiB.
-	MaxBodyBytes int `json:"max_body_bytes,omitempty"`
+	MaxBodyBytes int `json:"max_body_bytes,omitempty" help:"bound on a request body in bytes, 0 for 8 MiB"`
 	// MaxConnections bounds the open connections, 0 for 20,000.
-	MaxConnections int `json:"max_connections,omitempty"`
+	MaxConnections int `json:"max_connections,omitempty" help:"bound on open connections, 0 for 20,000"`
 	// IdleTimeoutMillis closes a connection without a request, 0 for 120,000.
-	IdleTimeoutMillis int `json:"idle_timeout_ms,omitempty"`
+	IdleTimeoutMillis int `json:"idle_timeout_ms,omitempty" help:"idle time after which a connection is closed, 0 for 120,000"`
 	// ShutdownNoticeMillis bounds a graceful shutdown, 0 for no bound.
-	ShutdownNoticeMillis int `json:"shutdown_notice_ms,omitempty"`
+	ShutdownNoticeMillis int `json:"shutdown_notice_ms,omitempty" help:"bound on a graceful shutdown, 0 for none"`
 }
 
 // Load reads a settings file. Unknown fields are errors.
--- /dev/null
+++ b/internal/process/settings/settings_test.go
@@ -0,0 +1,50 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+)
+
+// Guards against a field that neither a flag nor the environment can set, and
+// against one without help.
+func TestEveryFieldCanBeOverridden(t *testing.T) {
+	require.NotEmpty(t, settings.Fields())
+	for _, f := range settings.Fields() {
+		require.NotEmpty(t, f.Help, f.Name)
+		_, err := new(settings.Settings).Override(func(name string) (string, bool) { return "7", name == f.Name })
+		require.NoError(t, err, f.Name)
+	}
+}
+
+// Guards against overrides that are lost, that change the original, or that hide
+// a value of the wrong type.
+func TestOverrideReplacesOnlyGivenFields(t *testing.T) {
+	s, err := settings.Read(strings.NewReader(`{"name":"gateway-1","max_connections":5}`), "file")
+	require.NoError(t, err)
+	values := map[string]string{"gateway_peers": "127.0.0.1:1, 127.0.0.1:2", "slot_incarnation": "3", "max_body_bytes": "9"}
+	lookup := func(name string) (string, bool) { value, ok := values[name]; return value, ok }
+	changed, err := s.Override(lookup)
+	require.NoError(t, err)
+	require.Equal(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, changed.GatewayPeers)
+	require.Equal(t, uint64(3), changed.SlotIncarnation)
+	require.Equal(t, 9, changed.MaxBodyBytes)
+	require.Equal(t, 5, changed.MaxConnections)
+	require.Empty(t, s.GatewayPeers)
+	values["max_body_bytes"] = "many"
+	_, err = s.Override(lookup)
+	require.ErrorContains(t, err, "setting max_body_bytes")
+}
+
+// Guards against a process that starts without an address and fails later.
+func TestValidateNamesEveryFault(t *testing.T) {
+	s := &settings.Settings{Name: "sidecar-1", PeerAddress: "nowhere", DataCentre: "zg-a", Region: "hr-kont", Instance: "lm.1"}
+	err := s.ValidateSidecar()
+	for _, text := range []string{"admin_address is missing", "service is missing", "upstream_address is missing", "nowhere is no host:port", "dot or colon"} {
+		require.ErrorContains(t, err, text)
+	}
+	require.ErrorContains(t, s.ValidateGateway(), "caller_address is missing")
+}
