Merge instance list, operators' word and direct evidence

Leaving outweighs live for 60 s after its last evidence, also against a lagging list. Only the latest incarnation of a slot is used, and a list that shows an earlier one does not remove it. Failures eject an instance here only, for 1 s doubling to 30 s, then it is probed at a share of 0.05; they never remove the last instance. New and recovered instances ramp over 10 s, a returning data centre over 30 s; Weight gives the share.

Holding leaving for ever was ruled out: a withdrawn announcement would lose the instance until every gateway restarts. The sidecar's own refusal carries the guarantee.

The tests fail without the hold, without the memory of slots, without the exception for outdated lists, without the fallback to ejected instances, with lengthened ejections, with overtaken reports of readiness, without the end of evidence at a data centre's return, and without the ramp.

--- /dev/null
+++ b/internal/process/membership/membership_test.go
@@ -0,0 +1,208 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/membership"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func fleetWith(state string) fleet.Fleet {
+	return fleet.Fleet{DataCentres: []fleet.DataCentre{
+		{Name: "zg-a", State: state}, {Name: "zg-b", State: fleet.StateInService},
+	}}
+}
+
+func entry(name, slot string, incarnation uint64, state string) instance.Instance {
+	return instance.Instance{Name: name, Service: "lm", Slot: slot, DataCentre: "zg-a", Incarnation: incarnation, State: state}
+}
+
+func viewOf(list ...instance.Instance) *membership.View {
+	v := membership.New()
+	v.SetFleet(fleetWith(fleet.StateInService), start)
+	v.SetInstances(list, start)
+	return v
+}
+
+func names(instances []instance.Instance) []string {
+	var all []string
+	for _, i := range instances {
+		all = append(all, i.Name)
+	}
+	return all
+}
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// Guards against new work for an instance that leaves, sent because a list that
+// lags shows it live again, and against an instance lost for ever after a
+// withdrawn announcement.
+func TestLeavingOutweighsALaggingList(t *testing.T) {
+	live, leaving := entry("lm-1", "s-1", 1, instance.StateLive), entry("lm-1", "s-1", 1, instance.StateLeaving)
+	v := viewOf(leaving)
+	v.SetInstances([]instance.Instance{live}, after(time.Second))
+	require.Empty(t, v.Usable("lm", after(2*time.Second)))
+	require.NotEmpty(t, v.Usable("lm", after(2*time.Minute)))
+
+	v = viewOf(live)
+	v.ObserveReport(load.Report{Instance: "lm-1", Incarnation: "p1", Phase: load.PhaseLeaving}, after(time.Second))
+	v.ObserveReport(load.Report{Instance: "lm-1", Incarnation: "p1", Phase: load.PhaseReady}, after(time.Second))
+	v.SetInstances([]instance.Instance{live}, after(2*time.Second))
+	require.Empty(t, v.Usable("lm", after(3*time.Second)))
+	v.ObserveReport(load.Report{Instance: "lm-1", Incarnation: "p2", Phase: load.PhaseReady}, after(4*time.Second))
+	require.NotEmpty(t, v.Usable("lm", after(4*time.Second)))
+}
+
+// Guards against a data centre that stays unused after its return because its
+// sidecars reported that they leave while it was out of service.
+func TestDataCentreReturnsInRampedShares(t *testing.T) {
+	v := viewOf(entry("lm-1", "s-1", 1, instance.StateLive))
+	require.InDelta(t, 1, v.Weight("lm-1", start), 0)
+	v.SetFleet(fleetWith(fleet.StateOutOfService), after(time.Second))
+	require.Empty(t, v.Usable("lm", after(time.Second)))
+	require.Zero(t, v.Weight("lm-1", after(time.Second)))
+	v.ObserveReport(load.Report{Instance: "lm-1", Incarnation: "p1", Phase: load.PhaseLeaving, ConfigurationVersion: 2}, after(2*time.Second))
+	v.SetFleet(fleetWith(fleet.StateInService), after(3*time.Second))
+	require.Equal(t, []string{"lm-1"}, names(v.Usable("lm", after(3*time.Second))))
+	require.Less(t, v.Weight("lm-1", after(3*time.Second)), 0.1)
+	require.InDelta(t, 0.5, v.Weight("lm-1", after(18*time.Second)), 0.01)
+	require.InDelta(t, 1, v.Weight("lm-1", after(33*time.Second)), 0)
+}
+
+// Guards against the return of a replaced instance by a stale list, and against
+// the loss of its replacement by the same list.
+func TestStaleListBringsBackNoEarlierIncarnation(t *testing.T) {
+	first, second := entry("lm-1", "s-1", 1, instance.StateLive), entry("lm-9", "s-1", 2, instance.StateLive)
+	v := viewOf(first)
+	v.SetInstances([]instance.Instance{second}, after(time.Second))
+	v.SetInstances([]instance.Instance{first}, after(2*time.Second))
+	require.Equal(t, []string{"lm-9"}, names(v.Usable("lm", after(3*time.Second))))
+	require.Equal(t, []string{"lm-9", "lm-1"}, names(v.BySlot("lm", "s-1")))
+	v.SetInstances(nil, after(4*time.Second))
+	v.SetInstances([]instance.Instance{first}, after(5*time.Second))
+	require.Empty(t, v.Usable("lm", after(5*time.Second)))
+	_, found := v.Lookup("lm-9")
+	require.True(t, found, "work that continues there finds it")
+}
+
+// Guards against an instance that is used at full share right after a failure,
+// one that never returns, and one failure that ends all service.
+func TestFailuresEjectForAWhile(t *testing.T) {
+	v := viewOf(entry("lm-1", "s-1", 1, instance.StateLive), entry("lm-2", "s-2", 1, instance.StateLive))
+	for range 10 {
+		v.ObserveFailure("lm-1", start)
+	}
+	require.Equal(t, []string{"lm-2"}, names(v.Usable("lm", start)))
+	v.ObserveSuccess("lm-1", start)
+	require.Equal(t, []string{"lm-2"}, names(v.Usable("lm", start)), "the success is of older work")
+	probe := after(1100 * time.Millisecond)
+	require.Len(t, v.Usable("lm", probe), 2, "ten failures at once are one")
+	require.InDelta(t, 0.05, v.Weight("lm-1", probe), 0)
+	v.ObserveFailure("lm-1", probe)
+	require.Len(t, v.Usable("lm", probe.Add(1500*time.Millisecond)), 1)
+	v.ObserveFailure("lm-2", probe.Add(1500*time.Millisecond))
+	require.Len(t, v.Usable("lm", probe.Add(1500*time.Millisecond)), 2, "a gateway that reaches nobody keeps trying")
+	v.ObserveSuccess("lm-1", probe.Add(3*time.Second))
+	require.Less(t, v.Weight("lm-1", probe.Add(3*time.Second)), 0.1)
+	require.InDelta(t, 1, v.Weight("lm-1", probe.Add(13*time.Second)), 0)
+}
+
+// model is what the test knows from all observations.
+type model struct {
+	inService map[string]bool
+	// newest is by slot, leavingAt by instance name.
+	newest    map[string]uint64
+	leavingAt map[string]time.Time
+	list      []instance.Instance
+}
+
+// Guards against any sequence of stale lists, reports, failures and operators'
+// changes after which an instance receives work that one source forbids, after
+// which failures alone end all service, or after which a weight is out of range.
+func TestUsableNeverContradictsASource(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := membership.New()
+		m := &model{inService: make(map[string]bool), newest: make(map[string]uint64), leavingAt: make(map[string]time.Time)}
+		now := start
+		t.Repeat(map[string]func(*rapid.T){
+			"list":    func(t *rapid.T) { m.setList(t, v, now) },
+			"fleet":   func(t *rapid.T) { m.setFleet(t, v, now) },
+			"failure": func(t *rapid.T) { v.ObserveFailure(anyName(t), now) },
+			"success": func(t *rapid.T) { v.ObserveSuccess(anyName(t), now) },
+			"leaving": func(t *rapid.T) { m.setLeaving(t, v, now) },
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) { m.check(t, v, now) },
+		})
+	})
+}
+
+func anyName(t *rapid.T) string {
+	return fmt.Sprintf("s-%d-%d", rapid.IntRange(0, 2).Draw(t, "slot"), rapid.IntRange(1, 3).Draw(t, "incarnation"))
+}
+
+func (m *model) setList(t *rapid.T, v *membership.View, now time.Time) {
+	m.list = nil
+	for slot := range 3 {
+		for incarnation := uint64(1); incarnation <= 3; incarnation++ {
+			state := rapid.SampledFrom([]string{"", "", instance.StateLive, instance.StateLive, instance.StateLeaving}).Draw(t, "state")
+			if state == "" {
+				continue
+			}
+			i := entry(fmt.Sprintf("s-%d-%d", slot, incarnation), fmt.Sprintf("s-%d", slot), incarnation, state)
+			i.DataCentre = []string{"zg-a", "zg-b", "zg-a"}[slot]
+			m.list = append(m.list, i)
+			m.newest[i.Slot] = max(m.newest[i.Slot], incarnation)
+			if state == instance.StateLeaving {
+				m.leavingAt[i.Name] = now
+			}
+		}
+	}
+	v.SetInstances(m.list, now)
+}
+
+func (m *model) setFleet(t *rapid.T, v *membership.View, now time.Time) {
+	state := rapid.SampledFrom([]string{fleet.StateInService, fleet.StateOutOfService}).Draw(t, "state")
+	v.SetFleet(fleetWith(state), now)
+	m.inService = map[string]bool{"zg-a": state == fleet.StateInService, "zg-b": true}
+}
+
+// setLeaving reports from instances in the data centre that is always in
+// service, because the return of another ends such evidence.
+func (m *model) setLeaving(t *rapid.T, v *membership.View, now time.Time) {
+	name := fmt.Sprintf("s-1-%d", rapid.IntRange(1, 3).Draw(t, "incarnation"))
+	if _, known := v.Lookup(name); known {
+		m.leavingAt[name] = now
+		v.ObserveReport(load.Report{Instance: name, Incarnation: "p", Phase: load.PhaseLeaving}, now)
+	}
+}
+
+func (m *model) check(t *rapid.T, v *membership.View, now time.Time) {
+	usable := v.Usable("lm", now)
+	for _, i := range usable {
+		require.True(t, m.inService[i.DataCentre], "%s in a data centre out of service", i.Name)
+		require.Equal(t, m.newest[i.Slot], i.Incarnation, "%s is replaced", i.Name)
+		require.Equal(t, instance.StateLive, i.State)
+		if at, ok := m.leavingAt[i.Name]; ok {
+			require.GreaterOrEqual(t, now.Sub(at), time.Minute, "%s leaves", i.Name)
+		}
+		require.Positive(t, v.Weight(i.Name, now))
+	}
+	for _, i := range m.list {
+		require.LessOrEqual(t, v.Weight(i.Name, now), 1.0)
+		_, left := m.leavingAt[i.Name]
+		if m.inService[i.DataCentre] && m.newest[i.Slot] == i.Incarnation && !left {
+			require.NotEmpty(t, usable, "%s could serve", i.Name)
+		}
+	}
+}
