--- /dev/null
+++ b/internal/request/answer/answer_test.go
@@ -0,0 +1,64 @@
+package answer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohold/flamingohold/internal/request/answer"
+)
+
+// Guards G1: whatever is lost, doubled, reordered or mixed in from another
+// generation, the delivered tokens are 1, 2, 3, ... and only the whole answer
+// ends normally.
+func TestDeliveredTokensAreConsecutive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 6
+		var a answer.Answer
+		var delivered []uint64
+		for range rapid.IntRange(1, 60).Draw(t, "frames") {
+			generation := rapid.SampledFrom([]string{"", "a.1.1", "b.1.1"}).Draw(t, "generation")
+			if generation != "" && a.Accept(generation) != nil {
+				require.NotEqual(t, generation, a.Generation())
+				continue
+			}
+			seq := rapid.Uint64Range(1, length).Draw(t, "seq")
+			if rapid.Bool().Draw(t, "end") {
+				err := a.End(length)
+				require.Equal(t, err == nil, len(delivered) == length && a.Generation() != "")
+				continue
+			}
+			if deliver, _ := a.Token(seq); deliver {
+				delivered = append(delivered, seq)
+			}
+		}
+		for i, seq := range delivered {
+			require.EqualValues(t, i+1, seq)
+		}
+		if a.Complete() {
+			require.Len(t, delivered, length)
+		}
+	})
+}
+
+// Guards against a wrong reaction to each kind of fault.
+func TestFaultsAreToldApart(t *testing.T) {
+	a := answer.Resume("a.1.1", 4)
+	require.ErrorIs(t, a.Accept("a.1.2"), answer.ErrForeign)
+	deliver, err := a.Token(4)
+	require.NoError(t, err)
+	require.False(t, deliver, "delivered before")
+	_, err = a.Token(6)
+	require.ErrorIs(t, err, answer.ErrGap)
+	require.ErrorIs(t, a.End(3), answer.ErrForeign)
+	require.ErrorIs(t, a.End(5), answer.ErrGap)
+	deliver, err = a.Token(5)
+	require.NoError(t, err)
+	require.True(t, deliver)
+	require.False(t, a.Complete())
+	require.NoError(t, a.End(5))
+	require.True(t, a.Complete())
+	_, err = a.Token(6)
+	require.ErrorIs(t, err, answer.ErrForeign, "after the end")
+}
