Serve the sidecar on the listener and stop it gracefully

A stopping sidecar's own search for a ledger could take the one that it had just left with a peer; the test of the hand-over hung on it. Taking and leaving now exclude each other, and a leaving sidecar takes nothing.

--- a/internal/process/sidecar/dispatch.go
+++ b/internal/process/sidecar/dispatch.go
@@ -113,6 +113,7 @@
 	st.queue.Discard(j.attempt.ID)
 	view := s.ledger.Revoke(j.attempt.ID, j.attempt.BoundIncarnation, now)
 	if view.State == attempt.StateRevoked {
+		s.decided(j.attempt, "queue", "revoked", refusal.Detail)
 		s.jobs.remove(j.attempt.ID)
 	}
 }
@@ -130,6 +131,7 @@
 		s.jobs.remove(w.ID)
 		return true
 	}
-	s.running.Go(func() { s.execute(st, j) })
+	s.decided(j.attempt, "queue", "started", "")
+	go s.execute(st, j)
 	return true
 }
--- a/internal/process/sidecar/generations.go
+++ b/internal/process/sidecar/generations.go
@@ -152,7 +152,7 @@
 	for {
 		if stream != nil {
 			before := g.log.Last()
-			err = s.drain(ctx, g, stream, observe)
+			err = s.readStream(ctx, g, stream, observe)
 			stream.Close()
 			reached = s.clock()
 			barren++
@@ -184,8 +184,8 @@
 	return resumeLimit
 }
 
-// drain appends the tokens of one stream. It returns nil after the end marker.
-func (s *Sidecar) drain(ctx context.Context, g *run, stream *engine.Stream, observe func(time.Time)) error {
+// readStream appends the tokens of one stream. It returns nil after the end marker.
+func (s *Sidecar) readStream(ctx context.Context, g *run, stream *engine.Stream, observe func(time.Time)) error {
 	for {
 		seq, data, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -235,17 +235,19 @@
 		return stored, nil
 	}
 	s.log.Emit(eventlog.GenerationAdopted).Str("generation_id", id).Uint64("after", after).Send()
-	s.running.Go(func() {
-		defer stop()
-		if err := s.pump(ctx, g, stream, nil, func(time.Time) {}); err != nil {
-			s.failRun(g, err)
-			return
-		}
-		g.log.End()
-	})
+	go s.readAdopted(ctx, g, stream)
 	return g, nil
 }
 
+func (s *Sidecar) readAdopted(ctx context.Context, g *run, stream *engine.Stream) {
+	defer g.stop()
+	if err := s.pump(ctx, g, stream, nil, func(time.Time) {}); err != nil {
+		s.failRun(g, err)
+		return
+	}
+	g.log.End()
+}
+
 // reap cancels generations that no reader wants and drops finished ones.
 func (s *Sidecar) reap(now time.Time) {
 	for _, g := range s.runs.all() {
--- a/internal/process/sidecar/handover.go
+++ b/internal/process/sidecar/handover.go
@@ -104,6 +104,8 @@
 	if svc == nil || svc.Kind != service.KindPlain {
 		return
 	}
+	s.taking.Lock()
+	defer s.taking.Unlock()
 	body, err := json.Marshal(s.document(svc))
 	for _, address := range s.peers() {
 		if err != nil {
@@ -150,7 +152,14 @@
 	}
 }
 
+// take reports whether the predecessor's ledger was taken over. A leaving
+// sidecar takes none: it would take its own.
 func (s *Sidecar) take(ctx context.Context) bool {
+	s.taking.Lock()
+	defer s.taking.Unlock()
+	if s.health.leaving() {
+		return false
+	}
 	body, err := json.Marshal(handover.TakeRequest{Service: s.settings.Service, SlotIncarnation: s.settings.SlotIncarnation})
 	if err != nil {
 		return false
--- a/internal/process/sidecar/harness_test.go
+++ b/internal/process/sidecar/harness_test.go
@@ -72,6 +72,7 @@
 	sidecar        *Sidecar
 	configurations *fakeConfigurations
 	server         *httptest.Server
+	url            string
 	service        service.Service
 	state          string
 	ahead          *atomic.Int64
@@ -107,11 +108,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	s.startLoops(ctx)
-	h.server = httptest.NewServer(s.handler())
+	server := httptest.NewServer(s.handler())
+	h.server, h.url = server, server.URL
 	h.t.Cleanup(func() {
 		cancel()
-		h.server.CloseClientConnections()
-		h.server.Close()
+		server.CloseClientConnections()
+		server.Close()
 	})
 	h.await(func() bool { return h.report().Phase == load.PhaseReady })
 }
@@ -147,7 +149,7 @@
 func (h *harness) request(ctx context.Context, method, path string, body any, header ...string) *http.Response {
 	data, err := json.Marshal(body)
 	require.NoError(h.t, err)
-	r, err := http.NewRequestWithContext(ctx, method, h.server.URL+path, bytes.NewReader(data))
+	r, err := http.NewRequestWithContext(ctx, method, h.url+path, bytes.NewReader(data))
 	require.NoError(h.t, err)
 	r.Header.Set("Authorization", "Bearer "+secret)
 	for i := 0; i < len(header); i += 2 {
--- a/internal/process/sidecar/offers.go
+++ b/internal/process/sidecar/offers.go
@@ -38,6 +38,7 @@
 }
 
 func (s *Sidecar) refuse(w http.ResponseWriter, p problem.Problem, a *attempt.Attempt) {
+	s.decided(a, "admission", "refused", p.Outcome+": "+p.Detail)
 	_ = p.WithAt("admission", s.settings.Instance).WithRequest(a.RequestID).Write(w)
 }
 
@@ -62,6 +63,7 @@
 	case ledger.Accepted:
 		s.enqueue(w, r, a, svc, now)
 	case ledger.Joined:
+		s.decided(a, "admission", "joined", "attempt "+executor)
 		s.follow(w, r, a, executor)
 	default:
 		s.refuse(w, s.refusalFor(verdict, o, a, now), a)
@@ -203,6 +205,7 @@
 		s.refuseAccepted(w, a, problem.NotRun("queue_full", "the queue is full", retryElsewhere), now)
 		return
 	}
+	s.decided(a, "admission", "queued", "")
 	s.signal()
 	s.serveJob(w, r, j, a.ID, false)
 }
--- /dev/null
+++ b/internal/process/sidecar/run_test.go
@@ -0,0 +1,205 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+// stopping is a sidecar that runs Run's shutdown, over the real listener.
+type stopping struct {
+	*harness
+	stopped chan error
+}
+
+// serve replaces the harness's server by the listener.
+func (h *harness) serve() *stopping {
+	peers, err := h.sidecar.listen("127.0.0.1:0", h.sidecar.handler())
+	require.NoError(h.t, err)
+	h.url = "http://" + peers.Address()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &stopping{h, make(chan error, 1)}
+	stopLoops := h.stop
+	go func() {
+		<-ctx.Done()
+		err := h.sidecar.shutdown(context.Background(), peers)
+		stopLoops()
+		s.stopped <- err
+	}()
+	h.t.Cleanup(cancel)
+	h.stop = cancel
+	return s
+}
+
+func (s *stopping) awaitStop() {
+	select {
+	case err := <-s.stopped:
+		require.NoError(s.t, err)
+	case <-time.After(patienceLimit):
+		require.Fail(s.t, "the process does not stop")
+	}
+}
+
+// Guards against a planned stop that cuts off an answer or an order, or that
+// leaves queued work without an outcome.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	e, h := newEngineHarness(t)
+	s := h.serve()
+	limit := h.report().Limit
+	var running []*frames
+	for range limit {
+		stream, _ := h.begin(e)
+		running = append(running, stream)
+	}
+	waiting := h.generation()
+	queued := h.offer(context.Background(), waiting)
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	h.stop()
+	requireOutcome(t, queued.last(), problem.OutcomeNotRun)
+	requireOutcome(t, h.offer(context.Background(), h.generation()).last(), problem.OutcomeNotRun)
+	require.Equal(t, load.PhaseLeaving, h.report().Phase)
+	select {
+	case err := <-s.stopped:
+		require.Fail(t, "the process stopped before its work was finished", "%v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	e.generate(6, true)
+	for _, stream := range running {
+		requireTokens(t, stream, 0, 6)
+	}
+	s.awaitStop()
+}
+
+// Guards against a stop that waits for ever although the platform ends the
+// process after its notice.
+func TestNoticeBoundsAPlannedStop(t *testing.T) {
+	e, h := newEngineHarness(t)
+	h.sidecar.settings.ShutdownNoticeMillis = 200
+	s := h.serve()
+	h.begin(e)
+	h.stop()
+	select {
+	case err := <-s.stopped:
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+	case <-time.After(patienceLimit):
+		require.Fail(t, "the process does not stop")
+	}
+}
+
+// Guards against queued work of a requester whose disconnect the listener does
+// not report.
+func TestListenerReportsGoneRequesters(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(1, "a"), upstream.URL)
+	h.serve()
+	running := h.offer(context.Background(), h.order(""))
+	require.Equal(t, frame.KindAccepted, running.next().Kind)
+	waiting := h.order("")
+	ctx, disconnect := context.WithCancel(context.Background())
+	h.offer(ctx, waiting)
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	disconnect()
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateRevoked })
+	close(upstream.hold)
+	require.Equal(t, frame.KindResponse, running.last().Kind)
+}
+
+// Guards against new work for an instance that the instance list shows as
+// leaving or replaced, also after an older list arrives.
+func TestLeavingByTheInstanceList(t *testing.T) {
+	for name, listed := range map[string]instance.Instance{
+		"leaving":  {Name: "a-1", Service: "hire-app", Slot: "a", Incarnation: 1, State: instance.StateLeaving},
+		"replaced": {Name: "a-2", Service: "hire-app", Slot: "a", Incarnation: 2, State: instance.StateLive},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+			h.sidecar.learnInstances([]instance.Instance{listed}, time.Now())
+			requireOutcome(t, h.offer(context.Background(), h.order("")).last(), problem.OutcomeNotRun)
+			h.sidecar.learnInstances(nil, time.Now())
+			require.Equal(t, load.PhaseLeaving, h.report().Phase)
+		})
+	}
+}
+
+// Guards against an end of the quarantine while the slot's older holder may
+// still run orders.
+func TestOlderHolderOfTheSlotExtendsTheQuarantine(t *testing.T) {
+	h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+	h.sidecar.settings.SlotIncarnation = 2
+	older := instance.Instance{Name: "a-0", Service: "hire-app", Slot: "a", Incarnation: 1, State: instance.StateLive}
+	h.sidecar.learnInstances([]instance.Instance{older}, time.Now())
+	h.advance(h.service.KeyLifetime() + time.Minute)
+	h.sidecar.considerInstances(h.sidecar.clock())
+	requireOutcome(t, h.offer(context.Background(), h.order("opaque")).last(), problem.OutcomeUnknown)
+}
+
+// Guards against a successor that refuses its predecessor's opaque keys after a
+// planned stop, runs them again, or takes them twice.
+func TestLedgerIsHandedOver(t *testing.T) {
+	upstream := newFakeService(t, false)
+	holder := newHarness(t, plainService(8, "a", "b"), newFakeService(t, false).URL)
+	holder.sidecar.settings.Slot, holder.sidecar.settings.Instance = "b", "b-1"
+	peer := instance.Instance{
+		Name: "b-1", Service: "hire-app", Slot: "b", State: instance.StateLive,
+		SidecarAddress: strings.TrimPrefix(holder.server.URL, "http://"),
+	}
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	h.advance(h.service.KeyLifetime() + time.Minute)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order("opaque")).last().Kind)
+	h.sidecar.learnInstances([]instance.Instance{peer}, time.Now())
+	s := h.serve()
+	h.stop()
+	s.awaitStop()
+
+	h.ahead.Store(0)
+	h.start()
+	h.sidecar.learnInstances([]instance.Instance{peer}, time.Now())
+	rules := rulesOf(&h.service)
+	h.await(func() bool { return h.sidecar.quarantine.Ends(rules).IsZero() })
+	end := h.offer(context.Background(), h.order("opaque")).last()
+	require.Equal(t, "booking 1", string(end.Body))
+	require.True(t, end.Replayed)
+	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order("new")).last().Kind)
+	require.False(t, h.sidecar.take(context.Background()))
+	require.EqualValues(t, 2, upstream.calls.Load())
+}
+
+// Guards against a process that cannot be started, drained or stopped with its
+// settings alone.
+func TestRunServesAndStops(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	path := filepath.Join(t.TempDir(), "secret")
+	require.NoError(t, os.WriteFile(path, []byte(secret+"\n"), 0o600))
+	set := &settings.Settings{
+		Name: "sidecar-a", Service: "hire-app", Instance: "a-1", Slot: "a", PeerAddress: "127.0.0.1:0",
+		AdminAddress: "127.0.0.1:0", PeerSecretFile: path, UpstreamAddress: h.upstream,
+	}
+	s, err := New(set, h.sidecar.log, h.sidecar.telemetry)
+	require.NoError(t, err)
+	recorder := httptest.NewRecorder()
+	s.adminHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/drain", nil))
+	require.Equal(t, http.StatusAccepted, recorder.Code)
+	require.True(t, s.health.leaving())
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Run(ctx) }()
+	cancel()
+	require.NoError(t, <-stopped)
+	set.PeerAddress = "256.0.0.1:0"
+	require.Error(t, s.Run(context.Background()))
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/engine"
 	"github.com/flamingohold/flamingohold/internal/connection/upstream"
 	"github.com/flamingohold/flamingohold/internal/process/admission"
+	"github.com/flamingohold/flamingohold/internal/process/decisions"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/fairqueue"
 	"github.com/flamingohold/flamingohold/internal/process/handover"
@@ -22,6 +23,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/quarantine"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/version/configuration"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 )
@@ -70,6 +72,10 @@
 	ledger      *ledger.Ledger
 	quarantine  *quarantine.Quarantine
 	handovers   *handover.Store
+	// taking is held while a ledger is taken over or left with a peer, so that
+	// this process cannot take its own.
+	taking    sync.Mutex
+	decisions *decisions.Ring
 	// peerClient opens a connection for each call, because a kept one can have
 	// gone silent unnoticed.
 	peerClient *http.Client
@@ -82,8 +88,6 @@
 	sequence atomic.Uint64
 	// wake asks the dispatcher to look at the queue.
 	wake chan struct{}
-	// running counts the handed-over attempts whose goroutine has not ended.
-	running sync.WaitGroup
 
 	health health
 	// instances is the platform's instance list, which lags behind.
@@ -115,6 +119,7 @@
 		ledger:       ledger.New(incarnation, maxRecords, maxResultBytes, now),
 		quarantine:   quarantine.New(d.settings.Slot, now),
 		handovers:    handover.New(),
+		decisions:    decisions.New(d.settings.Name, decisions.DefaultCapacity),
 		peerClient:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		jobs:         newRegistry[*job](),
 		runs:         newRegistry[*run](),
@@ -189,3 +194,12 @@
 	default:
 	}
 }
+
+// decided records a decision on an attempt for operators.
+func (s *Sidecar) decided(a *attempt.Attempt, step, choice, reason string) {
+	s.telemetry.Scope().Tagged(map[string]string{"choice": choice}).Counter("attempts").Inc(1)
+	s.decisions.Add(decisions.Record{
+		Time: s.clock(), RequestID: a.RequestID, Account: a.Account, Step: step,
+		Peer: s.settings.Instance, Choice: choice, Reason: reason,
+	})
+}
--- a/internal/process/sidecar/streams.go
+++ b/internal/process/sidecar/streams.go
@@ -141,7 +141,9 @@
 	if err := f.accepted(view.Result.GenerationID); err != nil {
 		return err
 	}
-	s.serveTokens(f, r, g, 0)
+	if failure := s.serveTokens(f, r, g, 0); failure != nil {
+		return f.failed(*failure)
+	}
 	return nil
 }
 
