--- a/internal/process/eventlog/sidecar.go
+++ b/internal/process/eventlog/sidecar.go
@@ -60,12 +60,21 @@
 		3012, "order_refused_unknown", zerolog.InfoLevel,
 		"An order was refused with the outcome unknown, because it may have run elsewhere.", "none",
 	}
+	OrderToEngineFailed = Event{
+		3013, "order_to_engine_failed", zerolog.WarnLevel,
+		"The engine did not carry out a control order; it is given again.",
+		"Look at the engine and at the weight store.",
+	}
+	ModelLoaded = Event{
+		3014, "model_loaded", zerolog.InfoLevel,
+		"The engine loaded the model that the configuration assigns to the slot.", "none",
+	}
 )
 
 func sidecarEvents() []Event {
 	return []Event{
 		UpstreamUp, UpstreamDown, UpstreamRestarted, SidecarLeaving, SidecarResumed, GenerationFailed,
 		GenerationAdopted, GenerationAbandoned, CallOutcomeUnknown, LedgerHandedOver, LedgerNotHandedOver,
-		LedgerTaken, OrderRefusedUnknown,
+		LedgerTaken, OrderRefusedUnknown, OrderToEngineFailed, ModelLoaded,
 	}
 }
--- a/internal/process/sidecar/generations_test.go
+++ b/internal/process/sidecar/generations_test.go
@@ -35,6 +35,8 @@
 	refuse atomic.Bool
 	// startSeconds is the reported start time of its process.
 	startSeconds atomic.Int64
+	// fence is the highest fencing number of an order.
+	fence atomic.Uint64
 	// silent makes the streams that are open stop sending; cut ends them.
 	silent, cut map[int]bool
 	streams     int
@@ -62,6 +64,8 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, "vllm:num_requests_running 0\nprocess_start_time_seconds %d\n", e.startSeconds.Load())
 	})
+	mux.HandleFunc("GET /orders", e.orders)
+	mux.HandleFunc("POST /orders", e.order)
 	e.Server = httptest.NewServer(mux)
 	t.Cleanup(func() {
 		e.CloseClientConnections()
@@ -70,6 +74,22 @@
 	return e
 }
 
+func (e *fakeEngine) order(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Fence uint64 `json:"fence"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	if body.Fence < e.fence.Load() {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.fence.Store(body.Fence)
+}
+
+func (e *fakeEngine) orders(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintf(w, `{"fence":%d,"models":["m"]}`, e.fence.Load())
+}
+
 // change edits the engine's state and wakes its streams.
 func (e *fakeEngine) change(edit func()) {
 	e.mu.Lock()
@@ -368,3 +388,17 @@
 	requireTokens(t, h.offer(context.Background(), a), 0, 3)
 	require.EqualValues(t, 1, e.starts.Load())
 }
+
+// Guards against control orders of a holder of the slot that was replaced, and
+// against new work for an engine that obeys the later holder.
+func TestOrdersCarryTheSlotsNumber(t *testing.T) {
+	e, h := newEngineHarness(t)
+	h.service.ChecksFencing = true
+	h.sidecar.loadModel(context.Background(), &h.service, "m")
+	require.EqualValues(t, 1, e.fence.Load())
+	require.Equal(t, load.PhaseReady, h.report().Phase)
+	e.fence.Store(2)
+	h.sidecar.loadModel(context.Background(), &h.service, "m")
+	require.EqualValues(t, 2, e.fence.Load())
+	require.Equal(t, load.PhaseLeaving, h.report().Phase)
+}
--- a/internal/process/sidecar/health.go
+++ b/internal/process/sidecar/health.go
@@ -127,6 +127,7 @@
 
 // watchUpstream probes the upstream until the context ends.
 func (s *Sidecar) watchUpstream(ctx context.Context) {
+	s.probe(ctx)
 	for every(ctx, probeInterval) {
 		s.probe(ctx)
 	}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -167,6 +167,7 @@
 	go s.watchInstances(ctx)
 	go s.keepLoop(ctx)
 	go s.takeLoop(ctx)
+	go s.placeLoop(ctx)
 }
 
 func (s *Sidecar) keepLoop(ctx context.Context) {
