--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 microbench: ## Runs the benchmarks beside the code.
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./pkg/...
+
+capacity: build ## Measures the slopes of docs/CAPACITY.md; ONLY=NAME measures one series.
+	$(BIN)/capacity $(if $(ONLY),--only $(ONLY),--out docs/CAPACITY.md)
--- /dev/null
+++ b/internal/capacity/document/doc.go
@@ -0,0 +1,2 @@
+// Package document writes measured series into a page.
+package document
--- /dev/null
+++ b/internal/capacity/measure/admission.go
@@ -0,0 +1,137 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/admission"
+	"github.com/flamingohold/flamingohold/internal/process/fairqueue"
+	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/outputlength"
+	"github.com/flamingohold/flamingohold/internal/request/generation"
+	"github.com/flamingohold/flamingohold/internal/request/work"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+)
+
+const (
+	stepTime = 20 * time.Millisecond
+	// chunkBytes is the size of one event of an OpenAI-compatible engine with
+	// one token.
+	chunkBytes = 230
+)
+
+func admissionDefinitions() []definition {
+	batches := []int{8, 16, 32, 64, 128, 256}
+	return []definition{
+		{"admission_step", "ns", "running generation", batches, admissionStep},
+		{"admission_memory", "B", "running generation", batches, admissionMemory},
+		{"output_length_memory", "B", "account", []int{100, 200, 400, 800, 1600}, outputLengthMemory},
+		{"queue_memory", "B", "waiting attempt", []int{64, 128, 256, 512, 1024}, queueMemory},
+		{"queue_hand_over", "ns", "waiting account", []int{4, 16, 64, 256}, queueHandOver},
+		{"token_log_memory", "B", "logged token", []int{500, 1000, 2000, 4000, 8000}, tokenLogMemory},
+		{"ledger_memory", "B", "attempt record", []int{500, 1000, 2000, 4000, 8000}, ledgerMemory},
+	}
+}
+
+func generationWork(i int) work.Work {
+	return work.Work{
+		ID: fmt.Sprintf("0190a1b2-c3d4-7000-8000-%012d", i), Account: fmt.Sprintf("account-%05d", i),
+		Weight: 1, Model: "model-1", PromptTokens: 300, ExpectedTokens: 600, Deadline: start.Add(time.Hour),
+	}
+}
+
+func controller(batch int) (*admission.Controller, []string) {
+	policy := fleet.DefaultPolicy()
+	policy.SlowStart = false
+	c := admission.New(policy, batch, 100_000_000, start)
+	ids := make([]string, 0, batch)
+	for i := range batch {
+		w := generationWork(i)
+		c.Admit(w, start)
+		c.Token(w.ID, start)
+		ids = append(ids, w.ID)
+	}
+	return c, ids
+}
+
+// admissionStep is the work for one step of the engine: a token for each
+// generation, with the learning of the step time.
+func admissionStep(batch int) float64 {
+	c, ids := controller(batch)
+	now := start
+	return nanoseconds(func() {
+		now = now.Add(stepTime)
+		for _, id := range ids {
+			c.Token(id, now)
+		}
+	})
+}
+
+func admissionMemory(batch int) float64 {
+	return heapBytes(nil, func() any {
+		c, _ := controller(batch)
+		return c
+	})
+}
+
+func outputLengthMemory(accounts int) float64 {
+	return heapBytes(nil, func() any {
+		e := outputlength.New()
+		for i := range accounts {
+			e.Observe(fmt.Sprintf("account-%05d", i), "model-1", 300, true)
+		}
+		return e
+	})
+}
+
+func queueMemory(waiting int) float64 {
+	return heapBytes(nil, func() any {
+		q := fairqueue.New(10*waiting, true)
+		for i := range waiting {
+			q.Push(generationWork(i), start)
+		}
+		return q
+	})
+}
+
+func queueHandOver(accounts int) float64 {
+	q := fairqueue.New(10*accounts, true)
+	for i := range accounts {
+		q.Push(generationWork(i), start)
+	}
+	return nanoseconds(func() {
+		w, _ := q.Next()
+		q.Remove(w.ID)
+		q.Push(w, start)
+	})
+}
+
+func tokenLogMemory(tokens int) float64 {
+	return heapBytes(nil, func() any {
+		log := generation.New("worker-1.0123456789abcdef.1", "account-1", 1<<30, start)
+		for seq := range tokens {
+			_, _ = log.Append(uint64(seq+1), make([]byte, chunkBytes))
+		}
+		return log
+	})
+}
+
+func ledgerMemory(attempts int) float64 {
+	return heapBytes(nil, func() any { return filledLedger(attempts) })
+}
+
+// filledLedger holds attempts of generations that are done, whose results are
+// not kept.
+func filledLedger(attempts int) *ledger.Ledger {
+	l := ledger.New("0123456789abcdef", attempts, 1<<30, start)
+	for i := range attempts {
+		id := generationWork(i).ID
+		l.Offer(ledger.Offer{
+			ID: id, Account: "account-00001", Fingerprint: "0123456789abcdef0123456789abcdef",
+			Binding: l.Binding(start),
+		}, start)
+		l.Start(id)
+		l.Finish(id, ledger.Result{}, start)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/capacity/measure/quota.go
@@ -0,0 +1,195 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/demand"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/quota"
+	"github.com/flamingohold/flamingohold/internal/process/quotaexchange"
+	"github.com/flamingohold/flamingohold/internal/process/quotahome"
+	"github.com/flamingohold/flamingohold/internal/version/account"
+)
+
+const (
+	// exchangeGateways is the number of gateways while the accounts vary, and
+	// exchangeAccounts the number of reported accounts while the gateways do.
+	exchangeGateways = 8
+	exchangeAccounts = 64
+)
+
+func quotaDefinitions() []definition {
+	accounts := []int{1000, 2000, 4000, 8000, 13_000}
+	reporters := []int{3, 30, 60, 120, 370}
+	exchanged := []int{8, 16, 32, 64, 128}
+	gateways := []int{2, 4, 8, 12, 16}
+	return []definition{
+		{"quota_memory", "B", "account", accounts, quotaMemory},
+		{"quota_acquire", "ns", "account", accounts, quotaAcquire},
+		{"quota_demand", "ns", "account", accounts, quotaDemand},
+		{"quota_home_memory", "B", "reporting gateway", reporters, quotaHomeMemory},
+		{"quota_home_divide", "ns", "reporting gateway", reporters, quotaHomeDivide},
+		{"quota_exchange_messages", "calls in an interval", "reported account", exchanged, func(n int) float64 {
+			return exchange(exchangeGateways, n).calls
+		}},
+		{"quota_exchange_bytes", "B in an interval", "reported account", exchanged, func(n int) float64 {
+			return exchange(exchangeGateways, n).bytes
+		}},
+		{"quota_exchange_messages_by_gateways", "calls in an interval", "gateway", gateways, func(n int) float64 {
+			return exchange(n, exchangeAccounts).calls
+		}},
+		{"quota_exchange_bytes_by_gateways", "B in an interval", "gateway", gateways, func(n int) float64 {
+			return exchange(n, exchangeAccounts).bytes
+		}},
+	}
+}
+
+func limitedAccount(i int) *account.Account {
+	return &account.Account{Name: fmt.Sprintf("account-%05d", i), RequestsPerSecond: 2, Concurrency: 20}
+}
+
+func limiter(accounts, gateways, requests int) *quota.Limiter {
+	l := quota.New(gateways)
+	for i := range accounts {
+		for range requests {
+			l.Acquire(limitedAccount(i), start)
+		}
+	}
+	return l
+}
+
+func quotaMemory(n int) float64 { return heapBytes(nil, func() any { return limiter(n, 370, 1) }) }
+
+func quotaAcquire(n int) float64 {
+	l := limiter(n, 1, 1)
+	all := make([]*account.Account, n)
+	for i := range all {
+		all[i] = limitedAccount(i)
+	}
+	turn, now := 0, start
+	return nanoseconds(func() {
+		a := all[turn%n]
+		turn++
+		now = now.Add(time.Millisecond)
+		if _, ok := l.Acquire(a, now); ok {
+			l.Release(a.Name, now)
+		}
+	})
+}
+
+// quotaDemand is the search for accounts to report, none of which needs it.
+func quotaDemand(n int) float64 {
+	l := limiter(n, 1, 1)
+	return nanoseconds(func() { l.Demand(1, start) })
+}
+
+func reportOf(gateway int) demand.Report {
+	return demand.Report{Gateway: fmt.Sprintf("10.0.0.%d:9000", gateway), Accounts: []demand.Account{{
+		Name: "account-00001", RateLimit: 100, ConcurrencyLimit: 100, Rate: 3, InUse: 2, Wanted: 3,
+	}}}
+}
+
+func openHome(gateways int) (*quotahome.Home, time.Time) {
+	h := quotahome.New(gateways, start)
+	now := start.Add(demand.Lease)
+	for g := range gateways {
+		h.Divide(reportOf(g), now)
+	}
+	return h, now
+}
+
+func quotaHomeMemory(n int) float64 {
+	return heapBytes(nil, func() any {
+		h, _ := openHome(n)
+		return h
+	})
+}
+
+func quotaHomeDivide(n int) float64 {
+	h, now := openHome(n)
+	r := reportOf(1)
+	return nanoseconds(func() { h.Divide(r, now) })
+}
+
+// traffic is what one gateway sent and received in one interval, without TCP
+// and IP headers.
+type traffic struct {
+	calls float64
+	bytes float64
+}
+
+// exchange lets the first of the gateways report the accounts over HTTP.
+func exchange(gateways, accounts int) traffic {
+	var bytes atomic.Int64
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 2,
+		DialContext:         countingDialer(&bytes),
+	}}
+	var addresses []string
+	var all []*quotaexchange.Exchange
+	var limiters []*quota.Limiter
+	for range gateways {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		l := quota.New(gateways)
+		e := quotaexchange.New(listener.Addr().String(), "0123456789abcdef0123456789abcdef", l, client, eventlog.Discard(), start)
+		server := &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+		all = append(all, e)
+		limiters = append(limiters, l)
+	}
+	for _, e := range all {
+		e.SetGateways(addresses)
+	}
+	now := time.Now()
+	for i := range accounts {
+		for range 4 {
+			limiters[0].Acquire(limitedAccount(i), now)
+		}
+	}
+	all[0].Report(context.Background(), now)
+	before, _ := all[0].Calls()
+	bytes.Store(0)
+	all[0].Report(context.Background(), now)
+	after, _ := all[0].Calls()
+	client.CloseIdleConnections()
+	return traffic{calls: float64(after - before), bytes: float64(bytes.Load())}
+}
+
+// countingConnection counts the bytes of a connection in both directions.
+type countingConnection struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConnection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func countingDialer(bytes *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var d net.Dialer
+		connection, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConnection{connection, bytes}, nil
+	}
+}
--- /dev/null
+++ b/internal/capacity/measure/routing.go
@@ -0,0 +1,122 @@
+package measure
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/membership"
+	"github.com/flamingohold/flamingohold/internal/process/routing"
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+)
+
+const dataCentres = 11
+
+var start = time.Unix(1_000_000, 0)
+
+func routingDefinitions() []definition {
+	sizes := []int{60, 350, 700, 1400, 2800, 14_000}
+	return []definition{
+		{"routing_memory", "B", "instance", sizes, routingMemory},
+		{"routing_decision_subset_20", "ns", "instance", sizes, func(n int) float64 { return routingDecision(n, 20) }},
+		{"routing_decision_no_subset", "ns", "instance", sizes, func(n int) float64 { return routingDecision(n, 0) }},
+		{"routing_new_list", "ns", "instance", sizes, routingNewList},
+		{"membership_memory", "B", "instance", sizes, membershipMemory},
+		{"membership_usable", "ns", "instance", sizes, membershipUsable},
+	}
+}
+
+func fleetOf() fleet.Fleet {
+	f := fleet.Fleet{Policy: fleet.DefaultPolicy()}
+	for i := range dataCentres {
+		f.DataCentres = append(f.DataCentres, fleet.DataCentre{
+			Name: fmt.Sprintf("dc-%d", i), Region: fmt.Sprintf("region-%d", i%3), State: fleet.StateInService,
+		})
+	}
+	return f
+}
+
+// instances returns a list as a decoder makes it: no string shares memory with
+// another.
+func instances(n int) []instance.Instance {
+	list := make([]instance.Instance, 0, n)
+	for i := range n {
+		list = append(list, instance.Instance{
+			Name:            fmt.Sprintf("worker-%05d-a1b2", i),
+			Service:         strings.Clone("lm-pool"),
+			Slot:            fmt.Sprintf("slot-%05d", i),
+			DataCentre:      fmt.Sprintf("dc-%d", i%dataCentres),
+			Region:          fmt.Sprintf("region-%d", i%3),
+			UpstreamAddress: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250),
+			SidecarAddress:  fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250),
+			Incarnation:     1,
+			State:           strings.Clone(instance.StateLive),
+		})
+	}
+	return list
+}
+
+func router(list []instance.Instance, subset int) *routing.Router {
+	policy := fleet.DefaultPolicy()
+	policy.SubsetSize = subset
+	r := routing.New("gateway-1", policy, 1)
+	r.SetDataCentre("dc-3")
+	r.Choose(list, 1, nil, start)
+	return r
+}
+
+// routingMemory is measured with all instances in the subset and a report of
+// each, which is the most that a gateway can know.
+func routingMemory(n int) float64 {
+	list := instances(n)
+	return heapBytes(list, func() any {
+		r := router(list, 0)
+		for _, i := range list {
+			r.Observe(load.Report{Instance: i.Name, Phase: load.PhaseReady, Limit: 10}, start)
+		}
+		return r
+	})
+}
+
+func routingDecision(n, subset int) float64 {
+	list := instances(n)
+	r := router(list, subset)
+	for i := range list {
+		r.Observe(load.Report{Instance: list[i].Name, Phase: load.PhaseReady, Running: i % 10, Limit: 10}, start)
+	}
+	excluded := []string{list[0].Name}
+	prefix := uint64(0)
+	return nanoseconds(func() {
+		prefix++
+		r.Choose(list, prefix%1000, excluded, start)
+	})
+}
+
+// routingNewList is a decision after the instance list changed.
+func routingNewList(n int) float64 {
+	lists := [][]instance.Instance{instances(n), instances(n)[:n-1]}
+	r := router(lists[0], 20)
+	turn := 0
+	return nanoseconds(func() {
+		turn++
+		r.Choose(lists[turn%2], 1, nil, start)
+	})
+}
+
+func membershipMemory(n int) float64 {
+	return heapBytes(nil, func() any {
+		v := membership.New()
+		v.SetFleet(fleetOf(), start)
+		v.SetInstances(instances(n), start)
+		return v
+	})
+}
+
+func membershipUsable(n int) float64 {
+	v := membership.New()
+	v.SetFleet(fleetOf(), start)
+	v.SetInstances(instances(n), start)
+	return nanoseconds(func() { v.Usable("lm-pool", start) })
+}
--- /dev/null
+++ b/internal/capacity/slope/doc.go
@@ -0,0 +1,2 @@
+// Package slope fits a line through measured points.
+package slope
