Weigh instances that return to service

Returning traffic must be ramped up by share: a draw by the weight that membership states now precedes each choice of an instance. Seen to fail with the draw taken out, by load and by prefix.

--- a/internal/capacity/measure/routing.go
+++ b/internal/capacity/measure/routing.go
@@ -22,6 +22,7 @@
 		{"routing_memory", "B", "instance", sizes, routingMemory},
 		{"routing_decision_subset_20", "ns", "instance", sizes, func(n int) float64 { return routingDecision(n, 20) }},
 		{"routing_decision_no_subset", "ns", "instance", sizes, func(n int) float64 { return routingDecision(n, 0) }},
+		{"routing_decision_copied_list", "ns", "instance", sizes, routingCopiedList},
 		{"routing_new_list", "ns", "instance", sizes, routingNewList},
 		{"membership_memory", "B", "instance", sizes, membershipMemory},
 		{"membership_usable", "ns", "instance", sizes, membershipUsable},
@@ -94,6 +95,14 @@
 	})
 }
 
+// routingCopiedList is a decision on an equal list at another address, which
+// must be compared with the last one.
+func routingCopiedList(n int) float64 {
+	lists := [][]instance.Instance{instances(n), instances(n)}
+	r := router(lists[0], 20)
+	return nanoseconds(func() { r.Choose(lists[1], 1, nil, start) })
+}
+
 // routingNewList is a decision after the instance list changed.
 func routingNewList(n int) float64 {
 	lists := [][]instance.Instance{instances(n), instances(n)[:n-1]}
--- a/internal/process/routing/decision.go
+++ b/internal/process/routing/decision.go
@@ -8,6 +8,9 @@
 	"github.com/flamingohold/flamingohold/internal/version/fleet"
 )
 
+// weightSteps is the resolution of draws by weight.
+const weightSteps = 1 << 20
+
 // decision is one choice of an instance.
 type decision struct {
 	router   *Router
@@ -87,7 +90,7 @@
 // else the one chosen by load.
 func (d *decision) byPrefix(prefix uint64, chosen *candidate) *candidate {
 	preferred := d.hashed(prefix)
-	if preferred == nil || preferred == chosen {
+	if preferred == nil || preferred == chosen || !d.draws(preferred) {
 		return chosen
 	}
 	pressure := preferred.record.pressure(d.now)
@@ -122,7 +125,7 @@
 	}
 	for range samples {
 		c := &d.table.candidates[d.table.local[d.router.random(len(d.table.local))]]
-		if d.permits(c) {
+		if d.draws(c) {
 			return c
 		}
 	}
@@ -135,7 +138,7 @@
 		return nil
 	}
 	for range samples {
-		if c := &candidates[d.router.random(len(candidates))]; d.permits(c) {
+		if c := &candidates[d.router.random(len(candidates))]; d.draws(c) {
 			return c
 		}
 	}
@@ -150,7 +153,7 @@
 	}
 	start := d.router.random(len(candidates))
 	for i := range candidates {
-		if c := &candidates[(start+i)%len(candidates)]; c != a && d.permits(c) {
+		if c := &candidates[(start+i)%len(candidates)]; c != a && d.draws(c) {
 			return c
 		}
 	}
@@ -168,6 +171,16 @@
 	return nil
 }
 
+// draws reports whether the instance is left and a draw by its weight accepts
+// it.
+func (d *decision) draws(c *candidate) bool {
+	if !d.permits(c) {
+		return false
+	}
+	weight := d.router.weight(c.instance.Name, d.now)
+	return weight >= 1 || float64(d.router.random(weightSteps)) < weight*weightSteps
+}
+
 func (d *decision) permits(c *candidate) bool {
 	return c.record.available(d.now) && !slices.Contains(d.excluded, c.instance.Name)
 }
--- a/internal/process/routing/routing.go
+++ b/internal/process/routing/routing.go
@@ -44,6 +44,13 @@
 	sweepInterval = time.Minute
 )
 
+// weigher tells the share of new work that an instance should receive.
+type weigher interface {
+	// Weight returns 1 for an instance at full weight and less for one that is
+	// being returned to service.
+	Weight(name string, now time.Time) float64
+}
+
 // Router chooses instances for one gateway. It is safe for concurrent use.
 type Router struct {
 	name    string
@@ -53,6 +60,8 @@
 	// turn is the position of the round-robin policy.
 	turn   atomic.Uint64
 	policy atomic.Pointer[fleet.Policy]
+	// weights is nil if all instances have full weight.
+	weights atomic.Pointer[weigher]
 	// tables holds the subset of each service. It is replaced as a whole.
 	tables atomic.Pointer[map[string]*table]
 
@@ -92,6 +101,10 @@
 	r.tables.Store(&map[string]*table{})
 }
 
+// SetWeights makes the router reduce the work of instances with a weight below
+// 1, such as membership.View states it.
+func (r *Router) SetWeights(w weigher) { r.weights.Store(&w) }
+
 // SetGateways tells the router the names of all gateways, in any order. Its own
 // name is added if it is missing. With equal lists the gateways' subsets overlap
 // as little as possible.
@@ -196,6 +209,15 @@
 	r.records.forget(keep, now)
 }
 
+// weight returns the share of new work that the instance should receive.
+func (r *Router) weight(name string, now time.Time) float64 {
+	w := r.weights.Load()
+	if w == nil {
+		return 1
+	}
+	return (*w).Weight(name, now)
+}
+
 // random returns a number from 0 to n-1.
 func (r *Router) random(n int) int {
 	return int(mix(r.state.Add(increment)) >> 33 * uint64(n) >> 31)
--- a/internal/process/routing/routing_test.go
+++ b/internal/process/routing/routing_test.go
@@ -218,6 +218,40 @@
 	require.NotEqual(t, first.Name, other.Name)
 }
 
+type fixedWeight map[string]float64
+
+func (f fixedWeight) Weight(name string, _ time.Time) float64 {
+	if w, ok := f[name]; ok {
+		return w
+	}
+	return 1
+}
+
+// Guards against full traffic for an instance that is being returned to
+// service, by load or by prefix, and against no choice while only such are left.
+func TestWeightReducesWork(t *testing.T) {
+	for _, prefix := range []uint64{0, 77} {
+		all := instances(6, 1)
+		r := New("gateway-1", fleet.DefaultPolicy(), 1)
+		for _, i := range all {
+			r.Observe(report(i.Name, 2, 10), start)
+		}
+		returning, _ := r.Choose(all, 77, nil, start)
+		r.SetWeights(fixedWeight{returning.Name: 0.1})
+		chosen := 0
+		for range 1000 {
+			if i, _ := r.Choose(all, prefix, nil, start); i.Name == returning.Name {
+				chosen++
+			}
+		}
+		require.Positive(t, chosen)
+		require.Less(t, chosen, 150)
+		only, ok := r.Choose([]instance.Instance{returning}, prefix, nil, start)
+		require.True(t, ok)
+		require.Equal(t, returning.Name, only.Name)
+	}
+}
+
 // Guards against records of replaced instances that pile up, and against the
 // loss of a count that is still needed.
 func TestRecordsOfReplacedInstancesAreForgotten(t *testing.T) {
