Accept integers with an exponent in operators' files

JSON schema takes 1e3 and 5.0 for integers, Go's decoder does not. A service with such a number passed the check and was left out of the bundle. The seed in the fuzz test fails without this.

--- a/internal/version/collection/collection.go
+++ b/internal/version/collection/collection.go
@@ -111,31 +111,43 @@
 }
 
 // add decodes the content as far as possible, so that a fault in one entry does
-// not hide those of others. What does not decode has a fault already.
+// not hide those of others.
 func (c *Collection) add(name, file string, content []byte) {
 	switch name {
 	case schema.FleetFile:
 		c.fleetFiles = append(c.fleetFiles, file)
-		_ = json.Unmarshal(content, &c.Fleet)
+		c.decode(origin{file, ""}, content, &c.Fleet)
 	case schema.ServiceFile:
 		var s service.Service
-		if json.Unmarshal(content, &s) == nil {
+		if c.decode(origin{file, ""}, content, &s) {
 			c.Services = append(c.Services, s)
 			c.serviceOrigins = append(c.serviceOrigins, origin{file, ""})
 		}
 	case schema.AccountsFile:
 		var entries []json.RawMessage
-		_ = json.Unmarshal(content, &entries)
+		c.decode(origin{file, ""}, content, &entries)
 		for i, entry := range entries {
 			var a account.Account
-			if json.Unmarshal(entry, &a) == nil {
+			o := origin{file, fmt.Sprintf("/%d", i)}
+			if c.decode(o, entry, &a) {
 				c.Accounts = append(c.Accounts, a)
-				c.accountOrigins = append(c.accountOrigins, origin{file, fmt.Sprintf("/%d", i)})
+				c.accountOrigins = append(c.accountOrigins, o)
 			}
 		}
 	}
 }
 
+// decode reports whether the content could be decoded. It adds a fault unless
+// the schema has found one in the file, so that nothing is left out silently.
+func (c *Collection) decode(o origin, content []byte, value any) bool {
+	err := json.Unmarshal(content, value)
+	known := slices.ContainsFunc(c.faults, func(f schema.Fault) bool { return f.File == o.file })
+	if err != nil && !known {
+		c.fault(o.file, o.path, err.Error(), "see docs/configuration.md")
+	}
+	return err == nil
+}
+
 func (c *Collection) checkTogether() {
 	if len(c.fleetFiles) == 0 {
 		c.fleetFiles = []string{schema.FleetFile}
--- a/internal/version/schema/node.go
+++ b/internal/version/schema/node.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math/big"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -79,8 +80,9 @@
 	return s.definitions[strings.TrimPrefix(n.Reference, referencePrefix)]
 }
 
-// withDefaults returns the value with the defaults of omitted fields. Values of
-// another type than the schema's are returned unchanged.
+// withDefaults returns the value with the defaults of omitted fields and with
+// integers in plain digits. Values of another type than the schema's are
+// returned unchanged.
 func (s *Schema) withDefaults(n *node, value any) any {
 	n = s.resolve(n)
 	switch v := value.(type) {
@@ -94,10 +96,24 @@
 				v[i] = s.withDefaults(n.Items, v[i])
 			}
 		}
+	case json.Number:
+		if n.Type == "integer" {
+			return plainInteger(v)
+		}
 	}
 	return value
 }
 
+// plainInteger returns an integer such as 1e3 or 5.0 in plain digits, the only
+// form that decodes into a Go integer.
+func plainInteger(number json.Number) json.Number {
+	value, ok := new(big.Rat).SetString(number.String())
+	if !ok || !value.IsInt() {
+		return number
+	}
+	return json.Number(value.Num().String())
+}
+
 func (s *Schema) fill(object map[string]any, p property) {
 	n := s.resolve(p.node)
 	value, given := object[p.name]
--- a/internal/version/schema/schema_test.go
+++ b/internal/version/schema/schema_test.go
@@ -136,6 +136,7 @@
 	f.Add([]byte(`{"name":"a","name":1,"orders":{"methods":["POST"]}}`))
 	f.Add([]byte(`[{"a":[{}]},1e999]`))
 	f.Add([]byte(`null`))
+	f.Add([]byte(`{"name":"a","kind":"engine","models":[{"name":"m","context_tokens":1e3}],"concurrency_limit":5.0}`))
 	s := newSchema(f)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		content, faults := s.Check(schema.ServiceFile, "f", data)
