--- a/cmd/flamingohold/main_test.go
+++ b/cmd/flamingohold/main_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -13,8 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/process/decisions"
+	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/load"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/standin/instances"
 )
 
 func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"flamingohold": main}) }
@@ -55,13 +58,23 @@
 	gateway := fakeProcess(t, "gateway-1", "aaaaaaaaaaaaaaaaaaaa", route, at(4, "r-1", "resume", "after token 9"), at(2, "r-2", "route", "lm-2"))
 	sidecar := fakeProcess(t, "lm-1", "aaaaaaaaaaaaaaaaaaaa", at(3, "r-1", "admit", "running"))
 	other := fakeProcess(t, "lm-2", "bbbbbbbbbbbbbbbbbbbb")
+	list := httptest.NewServer(instances.New([]instance.Instance{
+		{Name: "lm-1", Service: "lm", State: instance.StateLive, SidecarAddress: sidecar},
+	}, 0).Handler())
+	t.Cleanup(list.Close)
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("GATEWAY", gateway)
 			e.Setenv("SIDECAR", sidecar)
 			e.Setenv("OTHER", other)
-			return nil
+			fleet, err := json.Marshal(settings.Settings{
+				GatewayPeers: []string{gateway}, InstanceList: strings.TrimPrefix(list.URL, "http://"), PeerSecretFile: "secret",
+			})
+			if err != nil {
+				return err
+			}
+			return os.WriteFile(filepath.Join(e.WorkDir, "fleet.json"), fleet, 0o600)
 		},
 		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
 	})
--- a/cmd/flamingohold/peers.go
+++ b/cmd/flamingohold/peers.go
@@ -12,6 +12,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
+
+	"github.com/flamingohold/flamingohold/internal/process/instancelist"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
 )
 
 const (
@@ -54,6 +57,29 @@
 	return strings.TrimSpace(string(content)), errors.Wrap(err, "read peer secret")
 }
 
+// addFleet adds the gateways and the sidecars that the settings file of a
+// gateway leads to, and takes its peer secret if there is no other.
+func (o *askOptions) addFleet(ctx context.Context, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	if o.secretFile == "" {
+		o.secretFile = s.PeerSecretFile
+	}
+	o.addresses = append(o.addresses, s.GatewayPeers...)
+	if s.InstanceList == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	instances, err := instancelist.Read(ctx, s.InstanceList)
+	for _, i := range instances {
+		o.addresses = append(o.addresses, i.SidecarAddress)
+	}
+	return err
+}
+
 // reply is one process's answer.
 type reply[T any] struct {
 	address string
--- a/cmd/flamingohold/status.go
+++ b/cmd/flamingohold/status.go
@@ -23,18 +23,28 @@
 }
 
 func (p *program) statusCommand() command {
-	flags := newCommand("status", "Show the state of the given processes as a table.", `
+	flags := newCommand("status", "Show the state of the given processes or of the whole fleet as a table.", `
+    flamingohold status --fleet /etc/flamingohold/gateway.json
     flamingohold status --peer-secret-file secret --at 10.0.0.7:9200 --at 10.0.0.8:9200
     FLAMINGOHOLD_AT=10.0.0.7:9200,10.0.0.8:9200 flamingohold status -s secret
   The exit code is 1 if a process does not answer or if two configurations are in force.`)
 	o := new(askOptions)
-	o.add(flags, "peer or admin address of a process")
-	return command{flags, func() int { return p.status(o) }}
+	o.add(flags, "peer address of a process")
+	fleet := ""
+	flags.String(&fleet, "f", "fleet", "settings file of a gateway, whose gateway peers and instance list are asked")
+	return command{flags, func() int { return p.status(o, fleet) }}
 }
 
-func (p *program) status(o *askOptions) int {
+func (p *program) status(o *askOptions, fleet string) int {
+	code := exitSuccess
+	if fleet != "" {
+		// The gateways are shown even when the instance list does not answer.
+		if err := o.addFleet(context.Background(), fleet); err != nil {
+			code = p.fail(err)
+		}
+	}
 	if !o.complete(p.environment) {
-		_, _ = fmt.Fprintln(p.stderr, "flamingohold: status needs --at")
+		_, _ = fmt.Fprintln(p.stderr, "flamingohold: status needs --at or --fleet")
 		return exitUsage
 	}
 	secret, err := o.secret()
@@ -45,7 +55,7 @@
 	if err := p.printStates(replies); err != nil {
 		return p.fail(err)
 	}
-	return p.judge(replies)
+	return max(code, p.judge(replies))
 }
 
 func (p *program) printStates(replies []reply[state]) error {
--- a/internal/process/instancelist/reader.go
+++ b/internal/process/instancelist/reader.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// Read returns the list at the address as it is now.
+func Read(ctx context.Context, address string) ([]instance.Instance, error) {
+	r := New(address, eventlog.Discard(), nil)
+	defer r.client.CloseIdleConnections()
+	l, err := r.read(ctx, 0)
+	return l.Instances, err
+}
+
 // Run follows the list until the context ends, and returns nil then.
 func (r *Reader) Run(ctx context.Context) error {
 	defer r.client.CloseIdleConnections()
--- a/internal/process/membership/entry.go
+++ b/internal/process/membership/entry.go
@@ -75,8 +75,9 @@
 // observe takes a sidecar's report. A report of readiness ends the evidence only
 // if it is known to be later: from another process, or under a later
 // configuration, for a sidecar also reports that it leaves while its data centre
-// is out of service. Other such reports may have been overtaken.
-func (e *entry) observe(report load.Report, now time.Time) {
+// is out of service. Other such reports may have been overtaken. The result is
+// true if the entry changed.
+func (e *entry) observe(report load.Report, now time.Time) bool {
 	known := slices.Contains(e.reported.processes, report.Incarnation)
 	switch report.Phase {
 	case load.PhaseLeaving:
@@ -88,32 +89,50 @@
 		if surplus := len(e.reported.processes) - maxLeavingProcesses; surplus > 0 {
 			e.reported.processes = slices.Delete(e.reported.processes, 0, surplus)
 		}
+		return true
 	case load.PhaseReady:
-		if !known || report.ConfigurationVersion > e.reported.version {
+		later := !known || report.ConfigurationVersion > e.reported.version
+		if later && !e.reported.until.IsZero() {
 			e.reported.until = time.Time{}
+			return true
 		}
 	}
+	return false
 }
 
 // fail ejects the instance. Failures during an ejection are of work that began
-// before it and do not lengthen it.
-func (e *entry) fail(now time.Time) {
+// before it and do not lengthen it. The result is true if the entry changed.
+func (e *entry) fail(now time.Time) bool {
 	if e.ejected(now) {
-		return
+		return false
 	}
 	ejection := min(firstEjection<<min(e.failures, 10), lastEjection)
 	e.failures++
 	e.ejectedUntil = now.Add(ejection)
+	return true
 }
 
 // succeed ends the probing of an instance that failed. Successes during an
-// ejection are of work that began before it and prove nothing.
-func (e *entry) succeed(now time.Time) {
+// ejection are of work that began before it and prove nothing. The result is
+// true if the entry changed.
+func (e *entry) succeed(now time.Time) bool {
 	if e.failures == 0 || e.ejected(now) {
-		return
+		return false
 	}
 	e.failures = 0
 	e.ramp = now
+	return true
+}
+
+// nextChange returns the earliest time after now, and before the bound, at
+// which a hold or an ejection ends.
+func (e *entry) nextChange(now, bound time.Time) time.Time {
+	for _, end := range []time.Time{e.leavingUntil, e.reported.until, e.ejectedUntil} {
+		if end.After(now) && end.Before(bound) {
+			bound = end
+		}
+	}
+	return bound
 }
 
 func (e *entry) ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -21,6 +21,8 @@
 	services    map[string][]*entry
 	slots       *slots
 	dataCentres *dataCentres
+	// selections holds the usable instances by service. A change drops them all.
+	selections map[string]selection
 	// started is true after the first list, whose instances need no ramp.
 	started bool
 }
@@ -32,6 +34,7 @@
 		services:    make(map[string][]*entry),
 		slots:       newSlots(),
 		dataCentres: newDataCentres(),
+		selections:  make(map[string]selection),
 	}
 }
 
@@ -40,6 +43,7 @@
 func (v *View) SetInstances(instances []instance.Instance, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	clear(v.selections)
 	outdated := v.slots.note(instances, now)
 	before := v.entries
 	v.entries = make(map[string]*entry, len(instances))
@@ -99,6 +103,7 @@
 func (v *View) SetFleet(f fleet.Fleet, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	clear(v.selections)
 	for _, name := range v.dataCentres.set(f, now) {
 		for _, e := range v.entries {
 			// A sidecar also reports that it leaves while its data centre is out of
@@ -112,24 +117,40 @@
 
 // Usable returns the instances of the service that may receive new work, in the
 // order of the list. Instances that failed here are left out for a while, but
-// not if no other is left.
+// not if no other is left. The result must not be changed.
 func (v *View) Usable(service string, now time.Time) []instance.Instance {
 	v.mu.RLock()
-	defer v.mu.RUnlock()
-	var usable, ejected []instance.Instance
-	for _, e := range v.services[service] {
+	s, ok := v.selections[service]
+	v.mu.RUnlock()
+	if ok && s.valid(now) {
+		return s.usable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s = v.selectFrom(v.services[service], now)
+	if len(v.services[service]) > 0 {
+		v.selections[service] = s
+	}
+	return s.usable
+}
+
+func (v *View) selectFrom(entries []*entry, now time.Time) selection {
+	s := selection{from: now, until: now.Add(maxSelectionAge)}
+	var ejected []instance.Instance
+	for _, e := range entries {
+		s.until = e.nextChange(now, s.until)
 		switch {
 		case !v.permitted(e, now):
 		case e.ejected(now):
 			ejected = append(ejected, e.instance)
 		default:
-			usable = append(usable, e.instance)
+			s.usable = append(s.usable, e.instance)
 		}
 	}
-	if len(usable) == 0 {
-		return ejected
+	if len(s.usable) == 0 {
+		s.usable = ejected
 	}
-	return usable
+	return s
 }
 
 // Weight returns the share of new work that the instance should receive,
@@ -184,23 +205,24 @@
 // says nothing about the instance's health elsewhere, because a partition is not
 // a death.
 func (v *View) ObserveFailure(name string, now time.Time) {
-	v.edit(name, func(e *entry) { e.fail(now) })
+	v.edit(name, func(e *entry) bool { return e.fail(now) })
 }
 
 // ObserveSuccess records that the instance answered.
 func (v *View) ObserveSuccess(name string, now time.Time) {
-	v.edit(name, func(e *entry) { e.succeed(now) })
+	v.edit(name, func(e *entry) bool { return e.succeed(now) })
 }
 
 // ObserveReport records what a sidecar reports about itself.
 func (v *View) ObserveReport(report load.Report, now time.Time) {
-	v.edit(report.Instance, func(e *entry) { e.observe(report, now) })
+	v.edit(report.Instance, func(e *entry) bool { return e.observe(report, now) })
 }
 
-func (v *View) edit(name string, change func(*entry)) {
+// edit applies a function that reports whether it changed the entry.
+func (v *View) edit(name string, change func(*entry) bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if e := v.entries[name]; e != nil {
-		change(e)
+	if e := v.entries[name]; e != nil && change(e) {
+		delete(v.selections, e.instance.Service)
 	}
 }
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -206,3 +206,30 @@
 		}
 	}
 }
+
+// BenchmarkUsable measures the choice among the 1,400 instances of the target
+// size, done for each request.
+func BenchmarkUsable(b *testing.B) {
+	var list []instance.Instance
+	for i := range 1400 {
+		list = append(list, entry(fmt.Sprintf("lm-%d", i), fmt.Sprintf("s-%d", i), 1, instance.StateLive))
+	}
+	v := viewOf(list...)
+	b.ReportAllocs()
+	for b.Loop() {
+		v.Usable("lm", start)
+	}
+}
+
+// BenchmarkSetInstances measures the merge of a list of the target size.
+func BenchmarkSetInstances(b *testing.B) {
+	var list []instance.Instance
+	for i := range 1400 {
+		list = append(list, entry(fmt.Sprintf("lm-%d", i), fmt.Sprintf("s-%d", i), 1, instance.StateLive))
+	}
+	v := viewOf(list...)
+	b.ReportAllocs()
+	for b.Loop() {
+		v.SetInstances(list, start)
+	}
+}
