--- a/internal/process/usablelist/usablelist.go
+++ b/internal/process/usablelist/usablelist.go
@@ -41,8 +41,9 @@
 func New(s source) *Cache { return &Cache{source: s} }
 
 // Usable returns the instances of the service that may receive new work, as of
-// at most MaxAge before now. The result must not be changed. It is the same
-// slice as long as the instances are the same.
+// at most MaxAge before now, or twice that while another caller makes the list.
+// The result must not be changed. It is the same slice as long as the instances
+// are the same.
 func (c *Cache) Usable(service string, now time.Time) []instance.Instance {
 	l := c.list(service)
 	s := l.current.Load()
