Measure real processes against streams and client accounts

make capacity also starts one gateway and four engines on loopback and reads memory and processor time of the processes. Frame sizes are measured too.

--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -17,13 +17,11 @@
 // Series is one quantity measured at several sizes.
 type Series struct {
 	// Name states the quantity, Unit its unit and Per what the size counts.
-	Name string `json:"name"`
-	Unit string `json:"unit"`
-	Per  string `json:"per"`
-	// Command measures this series alone.
-	Command string        `json:"command"`
-	Points  []slope.Point `json:"points"`
-	Line    slope.Line    `json:"line"`
+	Name   string        `json:"name"`
+	Unit   string        `json:"unit"`
+	Per    string        `json:"per"`
+	Points []slope.Point `json:"points"`
+	Line   slope.Line    `json:"line"`
 }
 
 // definition is a series that is to be measured.
@@ -35,15 +33,6 @@
 	at    func(size int) float64
 }
 
-// Names returns the names of all series in order.
-func Names() []string {
-	var names []string
-	for _, d := range definitions() {
-		names = append(names, d.name)
-	}
-	return names
-}
-
 // Run measures the series whose names are accepted and passes each on as soon
 // as it is done.
 func Run(accept func(name string) bool, done func(Series)) {
@@ -59,11 +48,12 @@
 	all = append(all, routingDefinitions()...)
 	all = append(all, quotaDefinitions()...)
 	all = append(all, admissionDefinitions()...)
+	all = append(all, messageDefinitions()...)
 	return append(all, configurationDefinitions()...)
 }
 
 func (d definition) measure() Series {
-	s := Series{Name: d.name, Unit: d.unit, Per: d.per, Command: "make capacity ONLY=" + d.name}
+	s := Series{Name: d.name, Unit: d.unit, Per: d.per}
 	for _, size := range d.sizes {
 		s.Points = append(s.Points, slope.Point{X: float64(size), Y: d.at(size)})
 	}
--- /dev/null
+++ b/internal/capacity/processes/doc.go
@@ -0,0 +1,3 @@
+// Package processes measures real gateway and sidecar processes on loopback,
+// with stand-ins for all else.
+package processes
--- /dev/null
+++ b/internal/capacity/processes/usage.go
@@ -0,0 +1,69 @@
+package processes
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ticksPerSecond is the unit of processor time in /proc (USER_HZ on Linux).
+const ticksPerSecond = 100
+
+// usage is what one process uses.
+type usage struct {
+	// memory is the anonymous resident memory in bytes.
+	memory float64
+	// processor is the processor time since the start.
+	processor time.Duration
+}
+
+// usageOf reads the usage of a process from /proc.
+func usageOf(pid int) (usage, error) {
+	memory, err := anonymousMemory(pid)
+	if err != nil {
+		return usage{}, err
+	}
+	processor, err := processorTime(pid)
+	return usage{memory, processor}, err
+}
+
+func anonymousMemory(pid int) (float64, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read memory")
+	}
+	for line := range strings.Lines(string(content)) {
+		value, ok := strings.CutPrefix(line, "RssAnon:")
+		if !ok {
+			continue
+		}
+		kilobytes, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 64)
+		return kilobytes * 1024, errors.Wrap(err, "read memory")
+	}
+	return 0, errors.New("read memory: no RssAnon")
+}
+
+// processorTime adds the user and system time, which are the fields 14 and 15
+// of /proc/PID/stat. The name in field 2 may hold spaces.
+func processorTime(pid int) (time.Duration, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read processor time")
+	}
+	text := string(content)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	const userField, systemField = 11, 12
+	if len(fields) <= systemField {
+		return 0, errors.New("read processor time: too few fields")
+	}
+	user, userErr := strconv.Atoi(fields[userField])
+	system, systemErr := strconv.Atoi(fields[systemField])
+	if err := errors.CombineErrors(userErr, systemErr); err != nil {
+		return 0, errors.Wrap(err, "read processor time")
+	}
+	return time.Duration(user+system) * time.Second / ticksPerSecond, nil
+}
