Watch the service through silent connections and replaced gateways

A watch of 30 s on a connection that has gone silent ended after 39 s, beyond the 14 s for a change, if no peer had it. A watch now waits 6 s and is given up 2 s later; at rest 370 gateways read 62 times a second. The peers that sent messages are asked too, because gateways are replaced while settings stay.

The tests fail with a watch of one hour and without the learned peers.

--- /dev/null
+++ b/internal/process/configwatch/addresses.go
@@ -0,0 +1,60 @@
+package configwatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+)
+
+// maxLearnedPeers bounds the peers known from messages only.
+const maxLearnedPeers = 8
+
+// addresses holds the peers that can be asked: those of the settings, and the
+// latest ones that sent messages, because gateways are replaced while the
+// settings of a process stay as they are. It is safe for concurrent use.
+type addresses struct {
+	self string
+
+	mu sync.RWMutex
+	// configured never changes. Learned has the latest address last.
+	configured, learned []string
+}
+
+func newAddresses(configured []string, self string) *addresses {
+	others := slices.DeleteFunc(slices.Clone(configured), func(p string) bool { return p == self })
+	return &addresses{self: self, configured: others}
+}
+
+// learn remembers the sender of a message.
+func (a *addresses) learn(peer string) {
+	if peer == a.self || a.knows(peer) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.learned = append(a.learned, peer)
+	if len(a.learned) > maxLearnedPeers {
+		a.learned = slices.Delete(a.learned, 0, 1)
+	}
+}
+
+func (a *addresses) knows(peer string) bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return slices.Contains(a.learned, peer) || slices.Contains(a.configured, peer)
+}
+
+// pick returns a random peer, empty if none is known.
+func (a *addresses) pick() string {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	count := len(a.configured) + len(a.learned)
+	if count == 0 {
+		return ""
+	}
+	i := rand.IntN(count)
+	if i < len(a.configured) {
+		return a.configured[i]
+	}
+	return a.learned[i-len(a.configured)]
+}
--- a/internal/process/configwatch/fakeservice_test.go
+++ b/internal/process/configwatch/fakeservice_test.go
@@ -1,7 +1,9 @@
 package configwatch_test
 
 import (
+	"context"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -15,22 +17,35 @@
 	"github.com/flamingohold/flamingohold/internal/version/bundle"
 )
 
+// connectionKey is the context key of a connection's number.
+type connectionKey struct{}
+
 // fakeService is the part of a Consul key-value store that the watcher reads.
 type fakeService struct {
 	server *httptest.Server
 
-	mu      sync.Mutex
-	values  map[string][]byte
-	index   uint64
-	down    bool
-	changed chan struct{}
+	mu     sync.Mutex
+	values map[string][]byte
+	index  uint64
+	down   bool
+	// connections counts those accepted; the first ones up to silent get no answer
+	// any more.
+	connections, silent int
+	changed             chan struct{}
 	// reads counts all calls and chunkReads those for chunks.
 	reads, chunkReads int
 }
 
 func newFakeService(t *testing.T) *fakeService {
 	f := &fakeService{values: make(map[string][]byte), index: 1, changed: make(chan struct{})}
-	f.server = httptest.NewServer(f)
+	f.server = httptest.NewUnstartedServer(f)
+	f.server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.connections++
+		return context.WithValue(ctx, connectionKey{}, f.connections)
+	}
+	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
 }
@@ -50,6 +65,21 @@
 
 func (f *fakeService) setDown(down bool) { f.change(func() { f.down = down }) }
 
+// silence ends all answers on the connections that exist.
+func (f *fakeService) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = f.connections
+}
+
+// isSilent reports whether the request's connection gets no answer.
+func (f *fakeService) isSilent(r *http.Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	number, _ := r.Context().Value(connectionKey{}).(int)
+	return number <= f.silent
+}
+
 // publish puts the bundle's values into the store, edited by the functions.
 func (f *fakeService) publish(t *testing.T, b *bundle.Bundle, edits ...func(map[string][]byte)) {
 	data, err := b.Manifest.Encode()
@@ -83,6 +113,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if f.isSilent(r) {
+		<-r.Context().Done()
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/internal/process/configwatch/loops.go
+++ b/internal/process/configwatch/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +29,8 @@
 
 // askPeers adopts the newest bundle that random peers have.
 func (w *Watcher) askPeers(ctx context.Context) {
-	order := rand.Perm(len(w.peers))
+	order := slices.Clone(w.peers.configured)
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	answered := len(order) == 0
 	for round := 0; round < startRounds && !answered && len(order) > 0; round++ {
 		count := min(startPeers, len(order))
@@ -36,17 +38,17 @@
 		order = order[count:]
 	}
 	if !answered {
-		w.log.Emit(eventlog.ConfigurationPeersSilent).Int("peers", len(w.peers)).Send()
+		w.log.Emit(eventlog.ConfigurationPeersSilent).Int("peers", len(w.peers.configured)).Send()
 	}
 }
 
 // askRound asks the peers at once and reports whether any of them answered,
 // even if only that it has no configuration.
-func (w *Watcher) askRound(ctx context.Context, peers []int) bool {
+func (w *Watcher) askRound(ctx context.Context, peers []string) bool {
 	offers := make(chan offer, len(peers))
 	for _, p := range peers {
 		go func() {
-			from := w.peer(w.peers[p])
+			from := w.peer(p)
 			m, err := from.manifest(ctx, "")
 			offers <- offer{from, m, err}
 		}()
@@ -67,15 +69,16 @@
 // change.
 func (w *Watcher) pollPeers(ctx context.Context) {
 	answered := false
-	for len(w.peers) > 0 {
-		if sleep(ctx, jitter(w.pollInterval(answered))) != nil {
-			return
+	for sleep(ctx, jitter(w.pollInterval(answered))) == nil {
+		peer := w.peers.pick()
+		if peer == "" {
+			continue
 		}
 		known := ""
 		if c := w.Current(); c != nil {
 			known = c.Hash
 		}
-		answered = w.readPeer(ctx, w.peers[rand.IntN(len(w.peers))], known)
+		answered = w.readPeer(ctx, peer, known)
 	}
 }
 
--- a/internal/process/configwatch/source.go
+++ b/internal/process/configwatch/source.go
@@ -114,13 +114,13 @@
 	client  *http.Client
 	address string
 	rate    *readRate
-	timeout time.Duration
+	timing  *timing
 }
 
 func (s *serviceSource) String() string { return s.address }
 
 func (s *serviceSource) chunk(ctx context.Context, hash string) ([]byte, error) {
-	a, err := s.get(ctx, chunkPrefix+hash, url.Values{}, s.timeout)
+	a, err := s.get(ctx, chunkPrefix+hash, url.Values{}, s.timing.serviceRead)
 	return a.body, err
 }
 
@@ -134,7 +134,7 @@
 		query.Set("index", strconv.FormatUint(index, 10))
 		query.Set("wait", fmt.Sprintf("%dms", wait.Milliseconds()))
 	}
-	a, err := s.get(ctx, manifestKey, query, wait+wait/8+s.timeout)
+	a, err := s.get(ctx, manifestKey, query, wait+wait/8+s.timing.watchSlack)
 	next, _ = strconv.ParseUint(a.header.Get(indexHeader), 10, 64)
 	if next < index {
 		next = 0
--- a/internal/process/configwatch/timing.go
+++ b/internal/process/configwatch/timing.go
@@ -10,10 +10,13 @@
 	dial time.Duration
 	// peerRead bounds one read from a peer.
 	peerRead time.Duration
-	// serviceRead bounds one read from the service besides the wait.
+	// serviceRead bounds one read of a chunk from the service.
 	serviceRead time.Duration
-	// wait is how long the service holds a watch without a change.
-	wait time.Duration
+	// wait is how long the service holds a watch without a change, and watchSlack
+	// how much later the watch is given up. A connection can go silent for ever:
+	// a watch, a chunk and a retry on such connections end within the 14 s for a
+	// change. At rest, 370 gateways then read 62 times a second.
+	wait, watchSlack time.Duration
 	// firstRetry and lastRetry bound the time between attempts while the service
 	// fails or its bundle is refused.
 	firstRetry, lastRetry time.Duration
@@ -29,8 +32,9 @@
 	return timing{
 		dial:        time.Second,
 		peerRead:    2 * time.Second,
-		serviceRead: 5 * time.Second,
-		wait:        30 * time.Second,
+		serviceRead: 3 * time.Second,
+		wait:        6 * time.Second,
+		watchSlack:  2 * time.Second,
 		firstRetry:  time.Second,
 		lastRetry:   15 * time.Second,
 		poll:        2 * time.Second,
--- a/internal/process/configwatch/watcher.go
+++ b/internal/process/configwatch/watcher.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +45,7 @@
 // use.
 type Watcher struct {
 	service *serviceSource
-	peers   []string
+	peers   *addresses
 	secret  string
 	client  *http.Client
 	log     *eventlog.Log
@@ -77,7 +75,7 @@
 func New(o Options, log *eventlog.Log) *Watcher {
 	t := defaultTiming()
 	w := &Watcher{
-		peers:   slices.DeleteFunc(slices.Clone(o.Peers), func(p string) bool { return p == o.Self }),
+		peers:   newAddresses(o.Peers, o.Self),
 		secret:  o.Secret,
 		client:  &http.Client{Transport: newTransport(t.dial)},
 		log:     log,
@@ -86,7 +84,7 @@
 		store:   newChunkStore(),
 	}
 	if o.Service != "" {
-		w.service = &serviceSource{client: w.client, address: o.Service, rate: newReadRate(), timeout: t.serviceRead}
+		w.service = &serviceSource{client: w.client, address: o.Service, rate: newReadRate(), timing: &w.timing}
 	}
 	return w
 }
@@ -114,10 +112,14 @@
 	}
 }
 
-// Learn states that a message from the peer mentioned a bundle. The hash may be
-// empty if the message carries none. It never blocks.
+// Learn states that a message from the peer mentioned a bundle, newer or not.
+// The hash may be empty if the message carries none. It never blocks.
 func (w *Watcher) Learn(version uint64, hash, peerAddress string) {
-	if peerAddress == "" || !w.Current().Newer(version, hash) {
+	if peerAddress == "" {
+		return
+	}
+	w.peers.learn(peerAddress)
+	if !w.Current().Newer(version, hash) {
 		return
 	}
 	select {
@@ -186,9 +188,8 @@
 		return data, nil
 	}
 	data, err := verified(ctx, c, from)
-	if err != nil && len(w.peers) > 0 {
-		other := w.peer(w.peers[rand.IntN(len(w.peers))])
-		if fromPeer, peerErr := verified(ctx, c, other); peerErr == nil {
+	if other := w.peers.pick(); err != nil && other != "" {
+		if fromPeer, peerErr := verified(ctx, c, w.peer(other)); peerErr == nil {
 			data, err = fromPeer, nil
 		}
 	}
--- a/internal/process/configwatch/watcher_test.go
+++ b/internal/process/configwatch/watcher_test.go
@@ -264,6 +264,34 @@
 	sidecar.waitFor(t, b)
 }
 
+// Guards against a watch that waits for ever on a connection that has gone
+// silent while new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	service := newFakeService(t)
+	first, second := publication(t, 1, "a"), publication(t, 2, "b")
+	service.publish(t, first)
+	gateway := start(t, configwatch.Options{Service: service.address()}, (*configwatch.Watcher).WatchBriefly)
+	gateway.waitFor(t, first)
+	service.silence()
+	service.publish(t, second)
+	gateway.waitFor(t, second)
+}
+
+// Guards against a sidecar that is cut off from changes after all gateways of
+// its settings have been replaced.
+func TestSidecarAsksGatewaysThatSentMessages(t *testing.T) {
+	service := newFakeService(t)
+	first, second := publication(t, 1, "a"), publication(t, 2, "b")
+	service.publish(t, first)
+	gateway := start(t, configwatch.Options{Service: service.address()})
+	gateway.waitFor(t, first)
+	sidecar := start(t, configwatch.Options{Peers: []string{"127.0.0.1:1"}})
+	sidecar.Learn(1, first.Manifest.Hash, gateway.address)
+	sidecar.waitFor(t, first)
+	service.publish(t, second)
+	sidecar.waitFor(t, second)
+}
+
 // Guards against more reads than the service can answer: 370 gateways that all
 // restart or read a change at once must stay below 2,000 reads in each second.
 func TestReadsStayWithinTheServiceRate(t *testing.T) {
