--- /dev/null
+++ b/internal/connection/link/link_test.go
@@ -0,0 +1,133 @@
+package link_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/link"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+func newClient() *link.Client {
+	return link.New("secret", "10.0.0.1:1", func(context.Context, http.Header) {}).WithSilenceTimeout(200 * time.Millisecond)
+}
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func offer(address string) (*link.Stream, error) {
+	return newClient().Offer(context.Background(), address, &attempt.Attempt{ID: "a-1", Account: "bakery"})
+}
+
+// Guards against frames, large ones included, that are lost or damaged.
+func TestFramesArriveWhole(t *testing.T) {
+	large := strings.Repeat("x", 300_000)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" || r.Header.Get(attempt.AccountHeader) != "bakery" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		w.Header().Set("Content-Type", frame.MediaType)
+		w.Header().Set(attempt.StreamHeader, "a-1")
+		_, _ = fmt.Fprintf(w, "%s\n%s\n%s\n", `{"kind":"accepted","generation_id":"i.1.1"}`, `{"kind":"token","seq":1,"data":{"t":"`+large+`"}}`, `{"kind":"end","seq":1}`)
+	})
+	s, err := offer(address)
+	require.NoError(t, err)
+	defer s.Close()
+	var f frame.Frame
+	require.NoError(t, s.Next(&f))
+	require.Equal(t, "i.1.1", f.GenerationID)
+	require.NoError(t, s.Next(&f))
+	require.Equal(t, `{"t":"`+large+`"}`, string(f.Data))
+	require.NoError(t, s.Next(&f))
+	require.Equal(t, frame.KindEnd, f.Kind)
+	require.ErrorIs(t, s.Next(&f), link.ErrLost)
+}
+
+// Guards against an error that says "not handed" of a request that may have
+// arrived, and against any other confusion of the ways in which a link fails.
+func TestFailuresAreToldApart(t *testing.T) {
+	hang := func(r *http.Request) {
+		// The server notices a disconnect only after the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	for name, test := range map[string]struct {
+		handler http.HandlerFunc
+		want    error
+	}{
+		"cut before the answer": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, link.ErrLost},
+		"silent before the answer": {func(_ http.ResponseWriter, r *http.Request) { hang(r) }, link.ErrSilent},
+		"silent after the header": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", frame.MediaType)
+			w.(http.Flusher).Flush()
+			hang(r)
+		}, link.ErrSilent},
+		"cut in a frame": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", frame.MediaType)
+			_, _ = fmt.Fprint(w, `{"kind":"acc`)
+		}, link.ErrLost},
+		"error without a problem": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, link.ErrLost},
+		"stream of another attempt": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", frame.MediaType)
+			w.Header().Set(attempt.StreamHeader, "a-2")
+			_, _ = fmt.Fprintln(w, `{"kind":"heartbeat"}`)
+		}, link.ErrCrossed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := offer(serve(t, test.handler))
+			if err == nil {
+				defer s.Close()
+				err = s.Next(new(frame.Frame))
+			}
+			require.ErrorIs(t, err, test.want)
+			require.NotErrorIs(t, err, link.ErrNotHanded)
+		})
+	}
+	_, err := offer("127.0.0.1:1")
+	require.ErrorIs(t, err, link.ErrNotHanded)
+}
+
+// Guards against a refusal that loses its outcome.
+func TestRefusalIsReturnedAsAProblem(t *testing.T) {
+	_, err := offer(serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_ = problem.NotRun("queue_full", "full", 2*time.Second).Write(w)
+	}))
+	var p problem.Problem
+	require.ErrorAs(t, err, &p)
+	require.Equal(t, problem.OutcomeNotRun, p.Outcome)
+	require.Equal(t, 2, p.RetryAfterSeconds)
+}
+
+// Guards against a slow caller that makes its link look silent.
+func TestTimeBetweenReadsIsNoSilence(t *testing.T) {
+	s, err := offer(serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", frame.MediaType)
+		for r.Context().Err() == nil {
+			_, _ = fmt.Fprintln(w, `{"kind":"heartbeat"}`)
+			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}))
+	require.NoError(t, err)
+	defer s.Close()
+	for range 3 {
+		require.NoError(t, s.Next(new(frame.Frame)))
+		time.Sleep(400 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/connection/link/stream.go
@@ -0,0 +1,97 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+)
+
+const (
+	readBufferBytes = 16 << 10
+	// maxLineBytes bounds one frame, which holds a whole response in base64.
+	maxLineBytes = 96 << 20
+)
+
+// Stream reads the frames of one link. It is not safe for concurrent use.
+type Stream struct {
+	body    io.ReadCloser
+	reader  *bufio.Reader
+	decoder frame.Decoder
+	// line holds a frame that exceeds the reader's buffer.
+	line []byte
+	// watch cancels the context with ErrSilent. It runs only while Next waits,
+	// so that a slow caller does not look like a silent link.
+	watch   *time.Timer
+	silence time.Duration
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+}
+
+func newStream(ctx context.Context, body io.ReadCloser, watch *time.Timer, cancel context.CancelCauseFunc, silence time.Duration) *Stream {
+	return &Stream{
+		body:    body,
+		reader:  bufio.NewReaderSize(body, readBufferBytes),
+		watch:   watch,
+		silence: silence,
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// Next waits for the next frame. The frame's Data is valid until the next call.
+// The error is ErrSilent, ErrLost or that of the context.
+func (s *Stream) Next(f *frame.Frame) error {
+	s.watch.Reset(s.silence)
+	line, err := s.readLine()
+	s.watch.Stop()
+	if err != nil {
+		return s.failure(err)
+	}
+	if err := s.decoder.Decode(line, f); err != nil {
+		return errors.Wrapf(ErrLost, "%v", err)
+	}
+	return nil
+}
+
+// More reports whether the next frame has begun to arrive.
+func (s *Stream) More() bool { return s.reader.Buffered() > 0 }
+
+func (s *Stream) readLine() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	s.line = s.line[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(s.line)+len(line) > maxLineBytes {
+			return nil, errors.Newf("frame exceeds %d bytes", maxLineBytes)
+		}
+		s.line = append(s.line, line...)
+		line, err = s.reader.ReadSlice('\n')
+	}
+	s.line = append(s.line, line...)
+	return s.line, err
+}
+
+func (s *Stream) failure(err error) error {
+	cause := context.Cause(s.ctx)
+	switch {
+	case errors.Is(cause, ErrSilent):
+		return errors.Wrapf(ErrSilent, "for %s", s.silence)
+	case cause != nil:
+		return cause
+	}
+	return errors.Wrapf(ErrLost, "read frame: %v", err)
+}
+
+// Close ends the link.
+func (s *Stream) Close() {
+	s.watch.Stop()
+	s.cancel(nil)
+	_ = s.body.Close()
+}
--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -51,13 +51,20 @@
 	// finished is true once the socket is closed and no handler runs any more.
 	finished bool
 	cancel   context.CancelFunc
+	// deadline is when the socket is closed, zero for never.
+	deadline time.Time
 	// seenSent and seenAt are the last change of sent that inspect found.
 	seenSent int64
 	seenAt   time.Time
 }
 
-func newConnection(l *Listener, conn net.Conn, socket *nbio.Conn) *connection {
-	return &connection{Conn: conn, socket: socket, listener: l, drained: make(chan struct{}, 1)}
+func newConnection(l *Listener, socket *nbio.Conn, now time.Time) *connection {
+	return &connection{
+		socket:   socket,
+		listener: l,
+		drained:  make(chan struct{}, 1),
+		deadline: now.Add(l.options.IdleTimeout),
+	}
 }
 
 // connectionOf returns the connection on the socket, nil before its first
@@ -103,7 +110,8 @@
 }
 
 // SetReadDeadline ends an answer. The library calls it after an answer to start
-// the idle time.
+// the idle time. The library's own deadlines are not used, because it sets the
+// first one at a moment when the first request may already be running.
 func (c *connection) SetReadDeadline(time.Time) error {
 	c.endAnswer(time.Now())
 	return nil
@@ -143,7 +151,7 @@
 		return false
 	}
 	if !c.receiving && c.active == 0 {
-		_ = c.socket.SetReadDeadline(now.Add(c.listener.options.ReceiveTimeout))
+		c.deadline = now.Add(c.listener.options.ReceiveTimeout)
 	}
 	c.receiving = true
 	return true
@@ -159,7 +167,7 @@
 		return false
 	}
 	c.active++
-	_ = c.socket.SetReadDeadline(time.Time{})
+	c.deadline = time.Time{}
 	return true
 }
 
@@ -170,16 +178,24 @@
 	c.cancel = nil
 	idle := c.active == 0
 	ending := c.ending
-	c.mu.Unlock()
-	if !idle {
-		return
+	if idle {
+		c.deadline = now.Add(c.listener.options.IdleTimeout)
 	}
-	if ending && c.queued.Load() == 0 {
+	c.mu.Unlock()
+	switch {
+	case !idle:
+	case ending && c.queued.Load() == 0:
 		_ = c.socket.Close()
-		return
+	default:
+		c.sendRefusal(now)
 	}
-	_ = c.socket.SetReadDeadline(now.Add(c.listener.options.IdleTimeout))
-	c.sendRefusal(now)
+}
+
+// serving reports whether a handler runs or waits.
+func (c *connection) serving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active > 0
 }
 
 func (c *connection) setCancel(cancel context.CancelFunc) {
@@ -211,12 +227,13 @@
 	due := c.refusal != nil && !c.refused && c.active == 0
 	c.refused = c.refused || due
 	c.receiving = c.receiving && c.refusal == nil
+	if due {
+		c.deadline = now.Add(refusalLinger)
+	}
 	c.mu.Unlock()
-	if !due {
-		return
+	if due {
+		_, _ = c.Write(encodeRefusal(*c.refusal))
 	}
-	_ = c.socket.SetReadDeadline(now.Add(refusalLinger))
-	_, _ = c.Write(encodeRefusal(*c.refusal))
 }
 
 func encodeRefusal(p problem.Problem) []byte {
@@ -239,7 +256,7 @@
 }
 
 // inspect cancels the request of a caller that has gone, closes a connection
-// that is to end or whose caller takes nothing, and reports whether the
+// that is overdue, that is to end or whose caller takes nothing, and reports whether the
 // connection is still busy.
 func (c *connection) inspect(now time.Time, stallTimeout time.Duration) bool {
 	closed := c.Closed()
@@ -250,12 +267,13 @@
 		if c.cancel != nil {
 			c.cancel()
 		}
-		return !c.finished
+		return !c.finished && c.active > 0
 	}
 	if queued == 0 {
 		c.seenAt = time.Time{}
 	}
-	if queued > 0 && c.stalled(now, stallTimeout) {
+	overdue := !c.deadline.IsZero() && now.After(c.deadline) && queued == 0
+	if overdue || (queued > 0 && c.stalled(now, stallTimeout)) {
 		_ = c.socket.Close()
 		return true
 	}
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -24,13 +25,20 @@
 	// maxWriteBufferBytes is a last bound on the unsent data of a connection,
 	// above which the library closes it. The stream writer waits well below it.
 	maxWriteBufferBytes = 4 << 20
-	// sweepInterval is the time between two looks at the busy connections.
+	// sweepInterval is the time between two looks at the busy connections, and
+	// every idleSweep-th look includes the idle ones.
 	sweepInterval = 20 * time.Millisecond
+	idleSweep     = 50
+	// libraryIdleTimeout keeps the library from closing idle connections, which
+	// the sweep does.
+	libraryIdleTimeout = 10 * 365 * 24 * time.Hour
 	// defaultReceiveTimeout bounds the time to receive one request.
 	defaultReceiveTimeout = 30 * time.Second
 	defaultIdleTimeout    = 120 * time.Second
 	defaultMaxBodyBytes   = 8 << 20
 	defaultMaxConnections = 20_000
+	// peerMessageBytes is the room for the other fields of a peer message.
+	peerMessageBytes = 1 << 20
 )
 
 // Options are the limits that protect a listener from its callers. A limit of 0
@@ -53,10 +61,16 @@
 }
 
 // FromSettings returns the options for the address with the process's limits.
+// On the peer address, a message may hold a request body of the largest size in
+// base64 besides its other fields.
 func FromSettings(s *settings.Settings, address string) Options {
+	maxBody := s.MaxBodyBytes
+	if address == s.PeerAddress && maxBody > 0 {
+		maxBody = base64.StdEncoding.EncodedLen(maxBody) + peerMessageBytes
+	}
 	return Options{
 		Address:        address,
-		MaxBodyBytes:   s.MaxBodyBytes,
+		MaxBodyBytes:   maxBody,
 		MaxConnections: s.MaxConnections,
 		IdleTimeout:    time.Duration(s.IdleTimeoutMillis) * time.Millisecond,
 	}
@@ -92,6 +106,8 @@
 	swept   sync.WaitGroup
 
 	mu sync.Mutex
+	// open holds all connections.
+	open map[*nbio.Conn]*connection
 	// busy holds the connections that receive a request, serve one, or have
 	// unsent data.
 	busy map[*connection]struct{}
@@ -111,12 +127,14 @@
 		options: options.withDefaults(),
 		handler: handler,
 		stopped: make(chan struct{}),
+		open:    make(map[*nbio.Conn]*connection),
 		busy:    make(map[*connection]struct{}),
 	}
 	l.engine = nbhttp.NewEngine(l.engineConfig())
 	l.engine.OnData(l.receive)
 	l.engine.OnWrittenSize(written)
-	l.engine.OnClose(closed)
+	l.engine.OnOpen(l.opened)
+	l.engine.OnClose(l.closed)
 	if err := l.engine.Start(); err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", options.Address)
 	}
@@ -134,7 +152,7 @@
 		ReadLimit:          l.options.MaxBodyBytes + maxHeaderBytes,
 		MaxHTTPBodySize:    l.options.MaxBodyBytes,
 		MaxWriteBufferSize: maxWriteBufferBytes,
-		KeepaliveTime:      l.options.IdleTimeout,
+		KeepaliveTime:      libraryIdleTimeout,
 		IOMod:              nbhttp.IOModNonBlocking,
 		Handler:            http.HandlerFunc(l.serve),
 		SupportServerOnly:  true,
@@ -209,7 +227,11 @@
 	}
 	c, ok := parser.Conn.(*connection)
 	if !ok {
-		c = newConnection(l, parser.Conn, socket)
+		if c = l.connection(socket); c == nil {
+			_ = socket.Close()
+			return
+		}
+		c.Conn = parser.Conn
 		parser.Processor = &processor{Processor: parser.Processor, connection: c, maxBody: int64(l.options.MaxBodyBytes)}
 		parser.Conn = c
 	}
@@ -229,15 +251,35 @@
 	l.busy[c] = struct{}{}
 }
 
+// opened is called before the first data of a connection.
+func (l *Listener) opened(accepted net.Conn) {
+	socket, ok := accepted.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[socket] = newConnection(l, socket, time.Now())
+}
+
+func (l *Listener) connection(socket *nbio.Conn) *connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open[socket]
+}
+
 // closed is called after the last handler of a closed connection.
-func closed(socket net.Conn, _ error) {
-	nb, ok := socket.(*nbio.Conn)
+func (l *Listener) closed(ended net.Conn, _ error) {
+	socket, ok := ended.(*nbio.Conn)
 	if !ok {
 		return
 	}
-	if c := connectionOf(nb); c != nil {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.open[socket]; c != nil {
 		c.finish()
 	}
+	delete(l.open, socket)
 }
 
 // serve runs the handler with a writer that protects it from the library.
@@ -285,17 +327,20 @@
 	defer l.swept.Done()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-l.stopped:
 			return
 		case now := <-ticker.C:
-			l.sweepOnce(now)
+			l.sweepBusy(now)
+			if n%idleSweep == 0 {
+				l.sweepOpen(now)
+			}
 		}
 	}
 }
 
-func (l *Listener) sweepOnce(now time.Time) {
+func (l *Listener) sweepBusy(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.busy {
@@ -304,3 +349,13 @@
 		}
 	}
 }
+
+func (l *Listener) sweepOpen(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for socket, c := range l.open {
+		if !c.inspect(now, l.options.IdleTimeout) && c.Closed() && !c.serving() {
+			delete(l.open, socket)
+		}
+	}
+}
--- a/internal/request/attempt/status.go
+++ b/internal/request/attempt/status.go
@@ -44,4 +44,7 @@
 	AccountHeader = "Flamingohold-Account"
 	// PeerHeader is the peer address of the process that makes a call.
 	PeerHeader = "Flamingohold-Peer"
+	// StreamHeader names, in the answer to an offer or a resumption, the attempt
+	// or generation whose frames follow.
+	StreamHeader = "Flamingohold-Stream"
 )
