--- a/cmd/flamingohold/roles.go
+++ b/cmd/flamingohold/roles.go
@@ -5,6 +5,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 )
 
@@ -15,9 +16,9 @@
 	return nil, errors.New("this build has no gateway")
 }
 
-func newSidecar(s *settings.Settings, _ *eventlog.Log, _ *telemetry.Telemetry) (runner, error) {
+func newSidecar(s *settings.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
 	if err := s.ValidateSidecar(); err != nil {
 		return nil, err
 	}
-	return nil, errors.New("this build has no sidecar")
+	return sidecar.New(s, log, t)
 }
