--- /dev/null
+++ b/internal/process/configwatch/chunkstore_test.go
@@ -0,0 +1,33 @@
+package configwatch
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/version/manifest"
+)
+
+// Guards against memory that grows with each refused bundle, and against the
+// loss of the chunks in force when those of others are dropped.
+func TestStoreIsBounded(t *testing.T) {
+	s := newChunkStore()
+	kept := []byte("in force")
+	m := manifest.New(1, []manifest.Chunk{manifest.Describe(kept)})
+	s.adopt(m, map[string][]byte{m.Chunks[0].SHA256: kept})
+	for i := range 100 {
+		data := append(make([]byte, manifest.MaxValueBytes-10), fmt.Sprintf("%010d", i)...)
+		s.put(manifest.Describe(data), data)
+	}
+	total := 0
+	for _, data := range s.chunks {
+		total += len(data)
+	}
+	require.Equal(t, s.bytes, total)
+	require.LessOrEqual(t, total, len(kept)+manifest.MaxBundleBytes)
+	_, ok := s.get(m.Chunks[0].SHA256)
+	require.True(t, ok)
+	_, ok = s.get(manifest.Describe(append(make([]byte, manifest.MaxValueBytes-10), "0000000099"...)).SHA256)
+	require.True(t, ok, "the newest is kept")
+}
