--- a/internal/standin/benchmark/benchmark.go
+++ b/internal/standin/benchmark/benchmark.go
@@ -33,7 +33,8 @@
 	Scenarios        []string
 	Policies         []string
 	// Duration is that of each scenario's arrivals, Drain the longest wait for
-	// the last answers, and Preheat the time before each scenario.
+	// the last answers, and Preheat the time of a small load before each scenario
+	// and once more after the start.
 	Duration, Drain, Preheat time.Duration
 	Seed                     uint64
 	// MemoryTokens is the engines' block memory. Less than the profile's keeps
@@ -134,6 +135,9 @@
 		s.generator.Close()
 		err = errors.CombineErrors(err, s.deployment.Stop())
 	}()
+	if err := <-s.preheat(ctx, b.options.Preheat); err != nil {
+		return nil, errors.Wrap(err, "preheat")
+	}
 	for _, name := range b.options.Scenarios {
 		c, err := scenarioOf(name)
 		if err != nil {
