Test the gateway against a fake sidecar and probe unused instances

Cause: an instance whose data centre returned to service was not used again, because no message reached the gateway from an instance that it did not use. Instances that are listed as live in a data centre in service but are not usable are now asked for their state, at most 8 at a time.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -70,6 +70,8 @@
 	budget      *retrybudget.Budget
 	decisions   *decisions.Ring
 	bindings    *bindings
+	// listed is the last instance list.
+	listed atomic.Pointer[[]instance.Instance]
 	// instanceList follows the platform's instance list, nil in tests.
 	instanceList interface {
 		Run(ctx context.Context) error
@@ -126,6 +128,7 @@
 // learnInstances takes a new instance list into use.
 func (g *Gateway) learnInstances(instances []instance.Instance, now time.Time) {
 	g.members.SetInstances(instances, now)
+	g.listed.Store(&instances)
 }
 
 // observe takes the load report that an instance's message carried.
--- /dev/null
+++ b/internal/process/gateway/order_test.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/pkg/orderkey"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+const orderBody = `{"stand":"tall gold"}`
+
+func respondWith(status int, body string) offerScript {
+	return func(s *fakeStream, _ *attempt.Attempt) {
+		s.send(frame.Frame{Kind: frame.KindHeartbeat}, answeredWith(status, body))
+	}
+}
+
+func cutOff(s *fakeStream, _ *attempt.Attempt) {
+	s.send(frame.Frame{Kind: frame.KindHeartbeat})
+	s.cut()
+}
+
+func silent(s *fakeStream, _ *attempt.Attempt) {
+	s.send(frame.Frame{Kind: frame.KindHeartbeat})
+	s.hang()
+}
+
+func refuseWith(p problem.Problem) offerScript {
+	return func(s *fakeStream, _ *attempt.Attempt) { _ = p.Write(s.w) }
+}
+
+func failWith(p problem.Problem) offerScript {
+	return func(s *fakeStream, _ *attempt.Attempt) { s.send(frame.Frame{Kind: frame.KindHeartbeat}, failed(p)) }
+}
+
+// Guards G5 and G6: what a caller is told of an order matches what the sidecar
+// knows, and an order that may have run is offered to no other instance.
+func TestOrderOutcomes(t *testing.T) {
+	stored := &attempt.Response{Status: http.StatusCreated, Header: http.Header{"Location": {"/1"}}, Body: []byte("stored")}
+	minted := "fhk1.h1.inc.1"
+	busy := problem.NotRun("queue_full", "full", time.Second)
+	foreign := problem.Unknown("other_incarnation", "bound to another")
+	for name, test := range map[string]struct {
+		key      string
+		offer    offerScript
+		statuses []attempt.Status
+		status   int
+		outcome  string
+		// offers is the number of attempts at both instances. If it is over 1, the
+		// last attempt may be followed by more within the retry bounds.
+		offers int
+	}{
+		"answered":                          {minted, respondWith(http.StatusCreated, "ok"), nil, http.StatusCreated, "", 1},
+		"cut while queued":                  {minted, cutOff, []attempt.Status{{State: attempt.StateRevoked}}, http.StatusServiceUnavailable, problem.OutcomeNotRun, 1},
+		"cut while running":                 {minted, cutOff, []attempt.Status{{State: attempt.StateRunning}, {State: attempt.StateRunning}, {State: attempt.StateDone, Response: stored}}, http.StatusCreated, "", 1},
+		"silent while running":              {minted, silent, []attempt.Status{{State: attempt.StateRunning}, {State: attempt.StateDone, Response: stored}}, http.StatusCreated, "", 1},
+		"cut, answer not kept":              {minted, cutOff, []attempt.Status{{State: attempt.StateDone}}, http.StatusBadGateway, problem.OutcomeIncomplete, 1},
+		"cut, sidecar replaced":             {minted, cutOff, []attempt.Status{{State: attempt.StateUnknown}}, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"cut, upstream lost":                {minted, cutOff, []attempt.Status{{State: attempt.StateLost}}, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"cut, then no answer":               {minted, cutOff, nil, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"without key, cut, no answer":       {"", cutOff, nil, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"without key, cut while running":    {"", cutOff, []attempt.Status{{State: attempt.StateRunning}, {State: attempt.StateDone, Response: stored}}, http.StatusCreated, "", 1},
+		"without key, refused":              {"", refuseWith(busy), nil, http.StatusServiceUnavailable, problem.OutcomeNotRun, 2},
+		"without key, handed back":          {"", failWith(busy), nil, http.StatusServiceUnavailable, problem.OutcomeNotRun, 2},
+		"without key, revoked":              {"", cutOff, []attempt.Status{{State: attempt.StateRevoked}}, http.StatusServiceUnavailable, problem.OutcomeNotRun, 2},
+		"without key, refused as unknown":   {"", refuseWith(foreign), nil, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"with key, refused":                 {minted, refuseWith(busy), nil, http.StatusServiceUnavailable, problem.OutcomeNotRun, 1},
+		"with key, failed after hand-over":  {minted, failWith(problem.Unknown("upstream_failed", "reset")), nil, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"with opaque key, cut, no answer":   {"opaque", cutOff, nil, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+		"with opaque key, answered":         {"opaque", respondWith(http.StatusCreated, "ok"), nil, http.StatusCreated, "", 1},
+		"with opaque key, refused, unknown": {"opaque", refuseWith(problem.Unknown("quarantine", "may have run").WithOrderKey(minted)), nil, http.StatusBadGateway, problem.OutcomeUnknown, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h1, h2 := newFakeSidecar(t, "h1", "hire"), newFakeSidecar(t, "h2", "hire")
+			for _, h := range []*fakeSidecar{h1, h2} {
+				h.offers, h.statuses = []offerScript{test.offer}, test.statuses
+			}
+			var options []requestOption
+			if test.key != "" {
+				options = append(options, withHeader(orderKeyHeader, test.key))
+			}
+			o := newFixture(t, h1, h2).do(t, http.MethodPost, "/hire/bookings?x=1", orderBody, options...)
+			require.Equal(t, test.status, o.status, o.body)
+			require.Equal(t, test.outcome, o.problem.Outcome, o.body)
+			require.Equal(t, test.outcome == problem.OutcomeNotRun, o.problem.Retryable)
+			first, _, _, _ := h1.seen()
+			second, _, _, _ := h2.seen()
+			offers := len(first) + len(second)
+			require.GreaterOrEqual(t, offers, test.offers)
+			if test.offers == 1 {
+				require.Equal(t, 1, offers)
+			}
+			require.LessOrEqual(t, offers, maxTries)
+			for _, a := range append(first, second...) {
+				require.Equal(t, "inc", a.BoundIncarnation)
+				require.False(t, a.Repeatable)
+				require.Equal(t, test.key, a.OrderKey)
+				require.Equal(t, test.key, a.Request.Header.Get(orderKeyHeader))
+				require.Empty(t, a.Request.Header.Get("Authorization"))
+				require.Equal(t, orderBody, string(a.Request.Body))
+			}
+			switch test.key {
+			case minted:
+				require.Empty(t, second)
+			case "opaque":
+				key, err := orderkey.Parse(test.key)
+				require.NoError(t, err)
+				require.Equal(t, key.Home([]string{"slot-h1", "slot-h2"}) == "slot-h1", len(first) == 1)
+			}
+		})
+	}
+}
+
+// Guards G6: a gateway that cannot reach the home of a key does not know whether
+// an earlier attempt ran there, and offers the order to nobody else.
+func TestUnreachableHomeIsAnUnknownOutcome(t *testing.T) {
+	h1, h2 := newFakeSidecar(t, "h1", "hire"), newFakeSidecar(t, "h2", "hire")
+	h1.offers, h2.offers = []offerScript{respondWith(http.StatusOK, "")}, []offerScript{respondWith(http.StatusOK, "")}
+	f := newFixture(t, h1, h2)
+	opaque := "order-1"
+	key, err := orderkey.Parse(opaque)
+	require.NoError(t, err)
+	home, other := h1, h2
+	if key.Home([]string{"slot-h1", "slot-h2"}) == "slot-h2" {
+		home, other = h2, h1
+	}
+	home.server.Close()
+	for _, k := range []string{opaque, "fhk1." + home.instance.Name + ".inc.1", "fhk1.gone.inc.1"} {
+		o := f.do(t, http.MethodPost, "/hire/bookings", orderBody, withHeader(orderKeyHeader, k))
+		require.Equal(t, problem.OutcomeUnknown, o.problem.Outcome, k)
+		require.False(t, o.problem.Retryable)
+	}
+	attempts, _, _, _ := other.seen()
+	require.Empty(t, attempts)
+	o := f.do(t, http.MethodPost, "/hire/bookings", orderBody, withHeader(orderKeyHeader, "two words"))
+	require.Equal(t, http.StatusBadRequest, o.status)
+
+	// Without a key the attempt never left the gateway, so that another instance
+	// may run it.
+	for range 4 {
+		o = f.do(t, http.MethodPost, "/hire/bookings", orderBody)
+		require.Equal(t, http.StatusOK, o.status, o.body)
+	}
+}
+
+// Guards against a repeatable call that fails with its first instance, and
+// against headers that must not pass.
+func TestRepeatableCallIsTriedElsewhere(t *testing.T) {
+	h1, h2 := newFakeSidecar(t, "h1", "hire"), newFakeSidecar(t, "h2", "hire")
+	h1.offers = []offerScript{cutOff}
+	h2.offers = []offerScript{func(s *fakeStream, _ *attempt.Attempt) {
+		r := answeredWith(http.StatusTeapot, "kettle")
+		r.Header = http.Header{"X-Stock": {"3"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Transfer-Encoding": {"chunked"}}
+		s.send(r)
+	}}
+	f := newFixture(t, h1, h2)
+	for range 6 {
+		o := f.do(t, http.MethodGet, "/hire/stock%2Fgold?x=1", "", withHeader("Connection", "X-Secret"), withHeader("X-Secret", "1"), withHeader("Te", "trailers"))
+		require.Equal(t, http.StatusTeapot, o.status, o.body)
+		require.Equal(t, "kettle", o.body)
+		require.Equal(t, "3", o.header.Get("X-Stock"))
+		require.Empty(t, o.header.Get("X-Hop"))
+	}
+	attempts, _, _, _ := h2.seen()
+	request := attempts[0].Request
+	require.Equal(t, "/hire/stock%2Fgold", request.Path)
+	require.Equal(t, "x=1", request.Query)
+	require.Empty(t, request.Header.Get("X-Secret"))
+	require.Empty(t, request.Header.Get("Te"))
+	require.NotEmpty(t, request.Header.Get(requestIDHeader))
+}
--- a/internal/process/gateway/probes.go
+++ b/internal/process/gateway/probes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 	// subset then cost 6 calls a second at most, and none under load.
 	probeInterval = time.Second
 	probeAge      = 5 * time.Second
-	// maxProbes bounds the calls at once.
+	// maxProbes bounds the calls at once, and maxUnused the unusable instances
+	// that are asked at a time.
 	maxProbes = 8
+	maxUnused = 8
 )
 
 // probeLoop asks the instances that this gateway uses for their state while no
@@ -40,33 +43,57 @@
 	var group sync.WaitGroup
 	places := make(chan struct{}, maxProbes)
 	used := make(map[string]bool)
-	for i := range c.Services {
-		for _, target := range g.subset(c.Services[i].Name) {
-			used[target.Name] = true
-			if age, known := g.bindings.age(target.Name, g.clock()); known && age < probeAge {
-				continue
-			}
-			places <- struct{}{}
-			group.Go(func() {
-				defer func() { <-places }()
-				g.inquire(ctx, target)
-			})
+	for _, target := range g.probed(c) {
+		used[target.Name] = true
+		if age, known := g.bindings.age(target.Name, g.clock()); known && age < probeAge {
+			continue
 		}
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			g.inquire(ctx, target)
+		})
 	}
 	group.Wait()
 	g.bindings.retain(used)
 }
 
-// subset returns the instances of the service that this gateway prefers.
-func (g *Gateway) subset(service string) []instance.Instance {
+// probed returns the instances whose state this gateway needs: those that it
+// prefers, and some of those that may work but are not used, because nothing
+// else would tell that they are back.
+func (g *Gateway) probed(c *configuration.Configuration) []instance.Instance {
 	now := g.clock()
+	usable := make(map[string]bool)
 	var targets []instance.Instance
-	for _, name := range g.router.Subset(g.members.Usable(service, now), now) {
-		if i, ok := g.members.Lookup(name); ok {
-			targets = append(targets, i)
+	for i := range c.Services {
+		candidates := g.members.Usable(c.Services[i].Name, now)
+		for _, u := range candidates {
+			usable[u.Name] = true
+		}
+		for _, name := range g.router.Subset(candidates, now) {
+			if preferred, ok := g.members.Lookup(name); ok {
+				targets = append(targets, preferred)
+			}
+		}
+	}
+	return append(targets, g.unused(c, usable)...)
+}
+
+// unused returns up to maxUnused live instances in data centres in service that
+// are not usable, at random.
+func (g *Gateway) unused(c *configuration.Configuration, usable map[string]bool) []instance.Instance {
+	listed := g.listed.Load()
+	if listed == nil {
+		return nil
+	}
+	var unused []instance.Instance
+	for _, i := range *listed {
+		if i.State == instance.StateLive && c.Fleet.InService(i.DataCentre) && !usable[i.Name] {
+			unused = append(unused, i)
 		}
 	}
-	return targets
+	rand.Shuffle(len(unused), func(a, b int) { unused[a], unused[b] = unused[b], unused[a] })
+	return unused[:min(len(unused), maxUnused)]
 }
 
 // inquire asks the instance for its state and returns its incarnation, "" if it
