Correct the operators' files of the scenarios

Cause: accounts are an array, and an order desk without slots is a fault. Result: collect accepts the files; the scripts reach the start of the gateways.

--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -239,7 +239,7 @@
 		{Name: "bakery", KeySHA256: account.HashKey("key-bakery")},
 		{Name: "couple", KeySHA256: account.HashKey("key-couple")},
 	}
-	err := writeJSON(filepath.Join(directory, "accounts.flamingohold.json"), map[string]any{"accounts": accounts})
+	err := writeJSON(filepath.Join(directory, "accounts.flamingohold.json"), accounts)
 	if err != nil {
 		return err
 	}
@@ -259,7 +259,11 @@
 			plain.Slots = append(plain.Slots, i.Slot)
 		}
 	}
-	for _, s := range []service.Service{engine, plain} {
+	services := []service.Service{engine}
+	if len(plain.Slots) > 0 {
+		services = append(services, plain)
+	}
+	for _, s := range services {
 		if err := writeJSON(filepath.Join(directory, "services", s.Name, "service.flamingohold.json"), s); err != nil {
 			return err
 		}
