--- a/cmd/flamingohold/roles.go
+++ b/cmd/flamingohold/roles.go
@@ -1,19 +1,18 @@
 package main
 
 import (
-	"github.com/cockroachdb/errors"
-
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/gateway"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/sidecar"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 )
 
-func newGateway(s *settings.Settings, _ *eventlog.Log, _ *telemetry.Telemetry) (runner, error) {
+func newGateway(s *settings.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
 	if err := s.ValidateGateway(); err != nil {
 		return nil, err
 	}
-	return nil, errors.New("this build has no gateway")
+	return gateway.New(s, log, t)
 }
 
 func newSidecar(s *settings.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
