--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -259,11 +259,10 @@
 			plain.Slots = append(plain.Slots, i.Slot)
 		}
 	}
-	services := []service.Service{engine}
-	if len(plain.Slots) > 0 {
-		services = append(services, plain)
-	}
-	for _, s := range services {
+	for _, s := range []service.Service{engine, plain} {
+		if s.Name == plainService && len(plain.Slots) == 0 {
+			continue
+		}
 		if err := writeJSON(filepath.Join(directory, "services", s.Name, "service.flamingohold.json"), s); err != nil {
 			return err
 		}
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -56,7 +56,10 @@
 
 // awaitProbe blocks until the process answers its probe.
 func (p *process) awaitProbe() error {
-	return poll(startTimeout, "start of "+p.name, func() bool {
+	err := poll(startTimeout, "start of "+p.name, func() bool {
+		if !p.running() {
+			return true
+		}
 		response, err := http.Get(p.probe)
 		if err != nil {
 			return false
@@ -64,6 +67,10 @@
 		_ = response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
+	if err == nil && !p.running() {
+		return errors.Newf("%s exited at its start", p.name)
+	}
+	return err
 }
 
 func (p *process) signal(s syscall.Signal) error {
