Believe a sidecar's report of leaving for 3 s

A gateway that learned of a data centre's return before its sidecars sent them work, was refused because they still counted the data centre as out of service, and left them unused for 60 s: the scenario data_centre_out failed with no usable instance when the next data centre left. Evidence from the instance list still holds for 60 s. Comparison of configuration versions was ruled out, because a refusal carries none.

--- a/internal/process/membership/entry.go
+++ b/internal/process/membership/entry.go
@@ -13,6 +13,11 @@
 	// instance list that shows it live. The list lags; after a withdrawn
 	// announcement the instance is used again.
 	leavingHold = 60 * time.Second
+	// reportHold is how long a sidecar's report that it leaves is believed without
+	// repetition. A sidecar that has not yet learned of its data centre's return
+	// still reports that it leaves, and nobody tells a gateway when that ends; an
+	// attempt that comes too early is refused and goes elsewhere.
+	reportHold = 3 * time.Second
 	// firstEjection doubles with each failure after a probe, up to lastEjection.
 	firstEjection = time.Second
 	lastEjection  = 30 * time.Second
@@ -81,7 +86,7 @@
 	known := slices.Contains(e.reported.processes, report.Incarnation)
 	switch report.Phase {
 	case load.PhaseLeaving:
-		e.reported.until = now.Add(leavingHold)
+		e.reported.until = now.Add(reportHold)
 		e.reported.version = max(e.reported.version, report.ConfigurationVersion)
 		if !known {
 			e.reported.processes = append(e.reported.processes, report.Incarnation)
