--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -215,37 +215,33 @@
 }
 
 // Stop stops gateways, sidecars and stand-ins in this order and waits for
-// them. It returns an error that names the processes that had to be killed.
+// them. It returns an error that names the processes that had to be killed or
+// failed.
 func (d *Deployment) Stop() error {
-	var late []string
+	var failure error
 	for role := range roleCount {
-		late = append(late, d.stopRole(role)...)
+		failure = errors.CombineErrors(failure, d.stopRole(role))
 	}
 	if err := os.Remove(filepath.Join(d.options.Folder, processesName)); err != nil && !os.IsNotExist(err) {
-		return errors.Wrap(err, "remove list of processes")
+		failure = errors.CombineErrors(failure, errors.Wrap(err, "remove list of processes"))
 	}
-	if len(late) > 0 {
-		return errors.Newf("killed after the shutdown notice: %s", strings.Join(late, ", "))
-	}
-	return nil
+	return failure
 }
 
-func (d *Deployment) stopRole(role int) (late []string) {
+func (d *Deployment) stopRole(role int) error {
 	for _, p := range d.plan.Processes {
 		if p.Role == role {
 			_ = p.Signal(syscall.SIGTERM)
 		}
 	}
 	deadline := time.Now().Add(d.options.ShutdownNotice + killMargin)
+	var failure error
 	for _, p := range d.plan.Processes {
-		if p.Role != role || p.await(deadline) {
-			continue
+		if p.Role == role {
+			failure = errors.CombineErrors(failure, p.finish(deadline))
 		}
-		late = append(late, p.Name)
-		_ = p.Signal(syscall.SIGKILL)
-		p.await(time.Now().Add(killMargin))
 	}
-	return late
+	return failure
 }
 
 // Gateways returns the addresses for callers.
--- a/internal/standin/deployment/process.go
+++ b/internal/standin/deployment/process.go
@@ -39,6 +39,10 @@
 	// StartTime is the process's start in clock ticks since boot. With the PID
 	// it identifies the process even when the PID is used again.
 	StartTime string `json:"start_time"`
+
+	// ended receives the result of a process that this program started; nil for
+	// others.
+	ended chan error
 }
 
 // start runs the process with its output in the log folder.
@@ -62,10 +66,21 @@
 	if err != nil {
 		return errors.Wrapf(err, "identify %s", p.Name)
 	}
-	go func() { _ = command.Wait() }()
+	ended := make(chan error, 1)
+	p.ended = ended
+	go func() { ended <- command.Wait() }()
 	return nil
 }
 
+// exitError returns an error if the process was started by this program and has
+// ended otherwise than with code 0. It must be called once, after await.
+func (p *Process) exitError() error {
+	if p.ended == nil {
+		return nil
+	}
+	return errors.Wrapf(<-p.ended, "exit of %s", p.Name)
+}
+
 // startTime returns field 22 of /proc/PID/stat. The fields are counted after
 // the name, which is in parentheses and may hold spaces. A zombie counts as
 // ended.
@@ -128,3 +143,17 @@
 	}
 	return true
 }
+
+// finish waits for the end of a process that was asked to stop, and kills it
+// after the deadline.
+func (p *Process) finish(deadline time.Time) error {
+	if p.PID == 0 {
+		return nil
+	}
+	if p.await(deadline) {
+		return p.exitError()
+	}
+	_ = p.Signal(syscall.SIGKILL)
+	p.await(time.Now().Add(killMargin))
+	return errors.Newf("%s was killed after the shutdown notice", p.Name)
+}
--- a/internal/standin/deployment/process_test.go
+++ b/internal/standin/deployment/process_test.go
@@ -24,6 +24,7 @@
 	require.NoError(t, p.Signal(syscall.SIGTERM))
 	require.True(t, p.await(time.Now().Add(time.Minute)))
 	require.NoError(t, p.Signal(syscall.SIGTERM))
+	require.ErrorContains(t, p.exitError(), "exit of sleep")
 }
 
 // Guards against a signal to another process that has got the same PID.
