Budget block memory by its peak

Admission now follows the common growth of all generations, each up to its quantile, and requires the peak to fit. Use that the running work does not explain counts only when three reports in a row show it.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -130,7 +130,7 @@
 		c.steps.decoding--
 	}
 	c.prefill.end(id, now)
-	c.memory.release(p)
+	c.memory.held -= p.held()
 	delete(c.running, id)
 }
 
@@ -160,7 +160,7 @@
 	if !c.budgeted() || len(c.running) == 0 {
 		return limit
 	}
-	return max(1, min(limit, len(c.running)+c.memory.places(len(c.running))))
+	return max(1, min(limit, len(c.running)+c.places()))
 }
 
 // Running returns the number of attempts that hold a place.
@@ -174,7 +174,7 @@
 func (c *Controller) FreeMemory() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.memory.freeFraction()
+	return c.freeFraction()
 }
 
 // StepMillis returns the recent time between tokens in milliseconds.
@@ -211,7 +211,7 @@
 	now = c.advance(now)
 	limit := c.limit(now)
 	free := max(0, limit-len(c.running))
-	if c.budgeted() && c.memory.freeFraction() < memoryReserve {
+	if c.budgeted() && c.freeFraction() < memoryReserve {
 		free = 0
 	}
 	if position < free {
@@ -274,8 +274,38 @@
 	if !c.budgeted() || len(c.running) == 0 {
 		return true
 	}
-	need := w.PromptTokens + c.remaining(w, 0, c.policy.LengthQuantile)
-	return need <= c.memory.free()
+	rest := c.remaining(w, 0, c.policy.LengthQuantile)
+	return peak(append(c.demands(), demand{w.PromptTokens, rest})) <= c.memory.usable()
+}
+
+func (c *Controller) demands() []demand {
+	demands := make([]demand, 0, len(c.running)+1)
+	for _, p := range c.running {
+		demands = append(demands, p.demand())
+	}
+	return demands
+}
+
+// places returns how many more attempts of the mean size of the running ones
+// fit, at least one while any memory is free.
+func (c *Controller) places() int {
+	committed := peak(c.demands())
+	free := c.memory.usable() - committed
+	if free <= 0 {
+		return 0
+	}
+	mean := max(1, committed/len(c.running))
+	return max(1, free/mean)
+}
+
+// freeFraction returns the part of block memory that the running work will not
+// occupy.
+func (c *Controller) freeFraction() float64 {
+	if c.memory.capacity <= 0 {
+		return 1
+	}
+	free := c.memory.usable() - peak(c.demands())
+	return min(1, max(0, float64(free)/float64(c.memory.capacity)))
 }
 
 // remaining returns the quantile of the further output of the work.
@@ -290,11 +320,9 @@
 	return tokens
 }
 
-// refine sets the reservation by what has been generated.
+// refine sets the expected length by what has been generated.
 func (c *Controller) refine(p *place) {
-	reserved := p.held() + c.remaining(p.work, p.generated, c.policy.LengthQuantile)
-	c.memory.reserved += reserved - p.reserved
-	p.reserved = reserved
+	p.length = p.generated + c.remaining(p.work, p.generated, c.policy.LengthQuantile)
 	p.refineAt = p.generated + refineStep + p.generated/refineFraction
 }
 
--- a/internal/process/admission/memory.go
+++ b/internal/process/admission/memory.go
@@ -1,9 +1,13 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
-	// refineStep and refineFraction set when a reservation is set anew: after 16
+	// refineStep and refineFraction set when a length is estimated anew: after 16
 	// tokens and a quarter of the generated ones.
 	refineStep     = 16
 	refineFraction = 4
@@ -12,23 +16,27 @@
 	preemptionFactor  = 0.9
 	minFactor         = 0.5
 	recoveryPerSecond = 0.005
-	// reportLifetime is how long the engine's report counts. Engines report with
-	// a lag, so that an old report shows work that has ended.
+	// reportLifetime is how long the engine's report counts.
 	reportLifetime = 5 * time.Second
+	// foreignReports is the number of reports in a row that must show use that
+	// the running work does not explain. Engines report with a lag, so that one
+	// report still counts work that has just ended.
+	foreignReports = 3
 )
 
 // memory is the budget of the engine's block memory, in tokens.
 type memory struct {
 	// capacity is 0 for a plain service.
 	capacity int
-	// reserved is the sum of the reservations and held the part in use.
-	reserved int
-	held     int
+	// held is the sum of the memory that the running work occupies.
+	held int
 	// factor is the usable part of the capacity.
 	factor float64
 	// foreign is the part of the engine's reported use that the running work
 	// does not explain.
-	foreign     int
+	foreign int
+	// unexplained are the last values of that part.
+	unexplained []int
 	preemptions uint64
 	reported    time.Time
 }
@@ -39,7 +47,7 @@
 // preemptions started again, which shows a restart.
 func (m *memory) observe(used float64, preemptions uint64, now time.Time) (restarted bool) {
 	used = min(max(used, 0), 1)
-	m.foreign = max(0, int(used*float64(m.capacity))-m.held)
+	m.observeForeign(max(0, int(used*float64(m.capacity))-m.held))
 	restarted = preemptions < m.preemptions
 	switch {
 	case preemptions > m.preemptions && !m.reported.IsZero():
@@ -52,38 +60,42 @@
 	return restarted
 }
 
+func (m *memory) observeForeign(tokens int) {
+	m.unexplained = append(m.unexplained, tokens)
+	if len(m.unexplained) < foreignReports {
+		return
+	}
+	m.unexplained = m.unexplained[len(m.unexplained)-foreignReports:]
+	m.foreign = slices.Min(m.unexplained)
+}
+
 // expire forgets the engine's report once it is too old.
 func (m *memory) expire(now time.Time) {
 	if now.Sub(m.reported) > reportLifetime {
 		m.foreign = 0
+		m.unexplained = m.unexplained[:0]
 	}
 }
 
-// release gives back what the work holds.
-func (m *memory) release(p *place) {
-	m.reserved -= p.reserved
-	m.held -= p.held()
-}
-
-// free returns the tokens that are not set aside, negative if too many are.
-func (m *memory) free() int {
-	return int(float64(m.capacity)*m.factor) - m.reserved - m.foreign
-}
+// usable returns the tokens that the running work may occupy.
+func (m *memory) usable() int { return int(float64(m.capacity)*m.factor) - m.foreign }
 
-func (m *memory) freeFraction() float64 {
-	if m.capacity <= 0 {
-		return 1
-	}
-	return min(1, max(0, float64(m.free())/float64(m.capacity)))
+// demand is the memory that one generation occupies and the number of tokens by
+// which it grows until it ends and gives it back.
+type demand struct {
+	held int
+	rest int
 }
 
-// places returns how many more attempts of the mean size of the running ones
-// fit, at least one while any memory is free.
-func (m *memory) places(running int) int {
-	free := m.free()
-	if free <= 0 {
-		return 0
+// peak returns the most memory that the generations occupy together at any time
+// from now on, if all grow alike and each ends after its rest. The sum of their
+// final sizes would count those that end early as long as the others.
+func peak(demands []demand) int {
+	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(b.rest, a.rest) })
+	highest, held := 0, 0
+	for i, d := range demands {
+		held += d.held
+		highest = max(highest, held+(i+1)*d.rest)
 	}
-	mean := max(1, m.reserved/max(1, running))
-	return max(1, free/mean)
+	return highest
 }
--- a/internal/process/admission/place.go
+++ b/internal/process/admission/place.go
@@ -15,11 +15,14 @@
 	// lastToken is when the last token arrived, zero before the first.
 	lastToken time.Time
 	generated int
-	// reserved is the part of block memory set aside, in tokens.
-	reserved int
-	// refineAt is the number of generated tokens at which reserved is set anew.
+	// length is the number of tokens that the output is expected to stay below,
+	// by the policy's quantile.
+	length int
+	// refineAt is the number of generated tokens at which length is set anew.
 	refineAt int
 }
 
 // held returns the block memory that the work occupies now, in tokens.
 func (p *place) held() int { return p.work.PromptTokens + p.generated }
+
+func (p *place) demand() demand { return demand{p.held(), max(0, p.length-p.generated)} }
