--- a/internal/process/gateway/access_test.go
+++ b/internal/process/gateway/access_test.go
@@ -164,7 +164,9 @@
 	response, err := http.DefaultClient.Do(request)
 	require.NoError(t, err)
 	stopped := make(chan error, 1)
-	go func() { stopped <- f.gateway.shutdown(context.Background(), []*listener.Listener{f.callers, f.peers, f.admin}) }()
+	go func() {
+		stopped <- f.gateway.shutdown(context.Background(), []*listener.Listener{f.callers, f.peers, f.admin})
+	}()
 	require.Eventually(t, func() bool {
 		_, err := net.Dial("tcp", f.callers.Address())
 		return err != nil
--- a/internal/process/gateway/harness_test.go
+++ b/internal/process/gateway/harness_test.go
@@ -42,7 +42,7 @@
 // fixed is a configuration that never changes.
 type fixed struct{ current *configuration.Configuration }
 
-func (f fixed) Current() *configuration.Configuration            { return f.current }
+func (f fixed) Current() *configuration.Configuration             { return f.current }
 func (f fixed) Subscribe(take func(*configuration.Configuration)) { take(f.current) }
 func (f fixed) Learn(uint64, string, string)                      {}
 func (f fixed) Handler() http.Handler                             { return http.NotFoundHandler() }
@@ -64,8 +64,6 @@
 	revoked   []string
 	cancelled []string
 	resumed   int
-	// leaving makes the state endpoint report it.
-	leaving bool
 }
 
 // fakeStream writes frames.
