--- a/internal/process/gateway/access_test.go
+++ b/internal/process/gateway/access_test.go
@@ -13,6 +13,7 @@
 	openai "github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/listener"
 	"github.com/flamingohold/flamingohold/internal/connection/stream"
@@ -204,7 +205,7 @@
 // newForwarder returns a function that decodes a token frame and writes it for
 // the caller.
 func newForwarder(t testing.TB) func() {
-	s := &session{writer: stream.New(discard{http.Header{}})}
+	s := &session{gateway: &Gateway{dependencies: dependencies{clock: time.Now}, metrics: newMetrics(tally.NoopScope)}, writer: stream.New(discard{http.Header{}})}
 	g := &generation{session: s, sink: &eventSink{session: s}}
 	require.NoError(t, g.answer.Accept("e1.a.1"))
 	var decoder frame.Decoder
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -63,7 +63,7 @@
 	ctx, span := g.telemetry.Tracer().Start(s.ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("peer", i.Name), attribute.String("attempt_id", a.ID)))
 	defer span.End()
-	s.decide("route", i.Name, "offer", "attempt "+a.ID)
+	s.decideRoute(i, "attempt "+a.ID)
 	g.router.Begin(i.Name)
 	defer g.router.End(i.Name)
 	current, err := g.links.Offer(ctx, i.SidecarAddress, a)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -70,6 +70,7 @@
 	budget      *retrybudget.Budget
 	decisions   *decisions.Ring
 	bindings    *bindings
+	metrics     *metrics
 	// listed is the last instance list.
 	listed atomic.Pointer[[]instance.Instance]
 	// instanceList follows the platform's instance list, nil in tests.
@@ -100,6 +101,7 @@
 		budget:       retrybudget.New(),
 		decisions:    decisions.New(d.settings.Name, decisions.DefaultCapacity),
 		bindings:     newBindings(),
+		metrics:      newMetrics(d.telemetry.Scope()),
 		drainAsked:   make(chan struct{}),
 	}
 	g.router.SetDataCentre(d.settings.DataCentre)
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -126,7 +126,7 @@
 	ctx, span := s.gateway.telemetry.Tracer().Start(s.ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("peer", i.Name), attribute.String("attempt_id", a.ID)))
 	defer span.End()
-	s.decide("route", i.Name, "offer", "chosen among the usable instances")
+	s.decideRoute(i, "attempt "+a.ID)
 	s.gateway.router.Begin(i.Name)
 	defer s.gateway.router.End(i.Name)
 	g.instance = i
@@ -248,6 +248,7 @@
 		return result{}, false, err
 	}
 	g.barren = 0
+	g.session.countToken(f.Seq)
 	err = g.sink.token(g.answer.Generation(), f.Seq, f.Data)
 	if err != nil && !errors.Is(err, stream.ErrClosed) {
 		// The token counts as delivered, so that no later one may follow.
@@ -304,7 +305,7 @@
 	s.gateway.log.Emit(eventlog.LinkResumed).Str("request_id", s.id).Str("peer", g.instance.Name).
 		Str("generation_id", g.answer.Generation()).Uint64("after", g.answer.Position()).Err(cause).Send()
 	s.decide("resume", g.instance.Name, "new link", cause.Error())
-	s.gateway.telemetry.Scope().Counter("resumptions").Inc(1)
+	s.gateway.metrics.resumptions.Inc(1)
 	g.barren++
 	delay := firstResumeDelay
 	for deadline := s.gateway.clock().Add(resumeTimeout); g.barren < maxBarrenResumes; delay = min(2*delay, lastResumeDelay) {
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -121,7 +121,7 @@
 		t.session.decide("retry_budget", "", "no retry", "the retry budget is used up")
 		return false
 	}
-	g.telemetry.Scope().Counter("retries").Inc(1)
+	g.metrics.retries.Inc(1)
 	return true
 }
 
--- a/internal/process/gateway/session.go
+++ b/internal/process/gateway/session.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/stream"
 	"github.com/flamingohold/flamingohold/internal/process/decisions"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/version/account"
 	"github.com/flamingohold/flamingohold/internal/version/configuration"
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -37,7 +38,9 @@
 	// ctx ends when the caller disconnects, and carries the gateway's span.
 	ctx context.Context
 	// id is the request identifier. Two accounts may use the same one.
-	id            string
+	id string
+	// began is when the request arrived.
+	began         time.Time
 	configuration *configuration.Configuration
 	account       *account.Account
 	// admission is how long the request may wait for admission, and deadline when
@@ -54,10 +57,11 @@
 		ctx, span := g.telemetry.Tracer().Start(g.telemetry.Extract(r.Context(), r.Header), "gateway",
 			trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		s := &session{gateway: g, writer: stream.New(w), request: r, ctx: ctx, id: requestID(r)}
+		s := &session{gateway: g, writer: stream.New(w), request: r, ctx: ctx, id: requestID(r), began: g.clock()}
 		span.SetAttributes(attribute.String("request_id", s.id))
 		s.writer.Header().Set(requestIDHeader, s.id)
 		g.telemetry.Inject(ctx, s.writer.Header())
+		g.metrics.requests.Inc(1)
 		s.admit()
 	})
 }
@@ -170,7 +174,7 @@
 	if s.account != nil {
 		name = s.account.Name
 	}
-	s.gateway.telemetry.Scope().Tagged(map[string]string{"outcome": p.Outcome}).Counter("requests_refused").Inc(1)
+	s.gateway.metrics.refused(p.Outcome)
 	s.gateway.log.Emit(event).Str("request_id", s.id).Str("account", name).Str("problem", p.Type).
 		Str("outcome", p.Outcome).Str("step", p.Step).Str("peer", p.Peer).Str("detail", p.Detail).Send()
 	trace.SpanFromContext(s.ctx).SetAttributes(attribute.String("outcome", p.Outcome), attribute.String("problem", p.Type))
@@ -187,6 +191,29 @@
 	})
 }
 
+// decideRoute records the choice of an instance.
+func (s *session) decideRoute(i instance.Instance, reason string) {
+	record := decisions.Record{
+		Time: s.gateway.clock(), RequestID: s.id, Account: s.account.Name, Step: "route", Peer: i.Name, Choice: "offer", Reason: reason,
+	}
+	if report, known := s.gateway.router.Load(i.Name); known {
+		record.Observations = []decisions.Observation{
+			{Subject: i.Name, Name: "pressure", Value: report.Pressure()},
+			{Subject: i.Name, Name: "free_memory", Value: report.FreeMemory},
+		}
+	}
+	s.gateway.decisions.Add(record)
+}
+
+// countToken counts a token of the answer.
+func (s *session) countToken(seq uint64) {
+	m := s.gateway.metrics
+	m.tokens.Inc(1)
+	if seq == 1 {
+		m.firstToken.RecordDuration(s.gateway.clock().Sub(s.began))
+	}
+}
+
 // gone reports whether the caller has disconnected.
 func (s *session) gone() bool { return s.ctx.Err() != nil || s.writer.Closed() }
 
--- a/internal/process/gateway/sinks.go
+++ b/internal/process/gateway/sinks.go
@@ -15,6 +15,9 @@
 // generation that stands still, so that devices in between keep the connection.
 const idleEvent = 15 * time.Second
 
+// maxStatus is the largest status that HTTP knows.
+const maxStatus = 599
+
 // sink takes the parts of a generation for the caller.
 type sink interface {
 	// token takes the next token.
@@ -158,6 +161,10 @@
 
 // respond passes an upstream's response on.
 func (s *session) respond(f *frame.Frame) {
+	if f.Status < http.StatusOK || f.Status > maxStatus {
+		s.refuse(problem.Incomplete("malformed_response", "the upstream answered with status "+strconv.Itoa(f.Status)))
+		return
+	}
 	h := s.writer.Header()
 	for name, values := range f.Header {
 		if !hopByHop(name, f.Header) && name != requestIDHeader {
@@ -165,6 +172,9 @@
 		}
 	}
 	h.Set("Content-Length", strconv.Itoa(len(f.Body)))
+	if length := f.Header.Get("Content-Length"); length != "" && s.request.Method == http.MethodHead {
+		h.Set("Content-Length", length)
+	}
 	if f.Replayed {
 		h.Set("Idempotency-Replayed", "true")
 	}
