Never report a request as not run after a try that may have run it

Cause: a request that may run more than once was tried at a second instance after its link was lost; if that one refused it, the caller received the refusal's outcome not_run although the first instance may have run it. The problem of the uncertain try now takes precedence. Seen failing without the precedence (TestRefusalAfterALostAttemptIsNotNotRun).

An order with a key is also tried elsewhere after a lost link if its upstreams deduplicate by themselves.

--- a/internal/process/gateway/harness_test.go
+++ b/internal/process/gateway/harness_test.go
@@ -242,6 +242,7 @@
 	}, []service.Service{
 		{Name: "pool", Kind: service.KindEngine, Models: []service.Model{{Name: "m", ContextTokens: 1000}}, Queue: service.Queue{TimeoutMillis: 2000}},
 		{Name: "hire", Kind: service.KindPlain, PathPrefixes: []string{"/hire/"}, Slots: slots, Orders: service.Orders{Methods: []string{"POST"}}, Queue: service.Queue{TimeoutMillis: 2000}},
+		{Name: "store", Kind: service.KindPlain, PathPrefixes: []string{"/store/"}, Orders: service.Orders{Methods: []string{"POST"}, UpstreamDeduplicates: true}},
 	}, []account.Account{
 		{Name: "bakery", KeySHA256: account.HashKey("key-bakery")},
 		{Name: "couple", KeySHA256: account.HashKey("key-couple")},
--- a/internal/process/gateway/order.go
+++ b/internal/process/gateway/order.go
@@ -49,7 +49,8 @@
 }
 
 // orderWithoutKey runs the order at any instance. Another one is tried only
-// after an attempt that is known not to have run.
+// after an attempt that is known not to have run, or if the upstreams recognise
+// the order's key.
 func (s *session) orderWithoutKey(svc *service.Service, a attempt.Attempt) {
 	failure, ok := s.newTries(svc, 0).run(func(i instance.Instance) result {
 		incarnation, known := s.incarnationOf(i)
@@ -57,7 +58,8 @@
 			return again(problem.NotRun(kindUnreachable, "the instance does not state its incarnation", noInstanceDelay).WithAt("inquire", i.Name))
 		}
 		r := s.tryOrder(i, a, incarnation)
-		r.again = r.problem.Outcome == problem.OutcomeNotRun
+		// Here an order has a key only if every upstream recognises it.
+		r.again = r.problem.Outcome == problem.OutcomeNotRun || (a.OrderKey != "" && mayHaveRun(r.problem))
 		return r
 	})
 	if !ok && !s.gone() {
--- a/internal/process/gateway/order_test.go
+++ b/internal/process/gateway/order_test.go
@@ -150,6 +150,38 @@
 	}
 }
 
+// Guards against an unknown outcome where every upstream recognises the key, and
+// against a second try of an order without one.
+func TestOrderAtDeduplicatingUpstreams(t *testing.T) {
+	s1, s2 := newFakeSidecar(t, "s1", "store"), newFakeSidecar(t, "s2", "store")
+	s1.offers, s2.offers = []offerScript{cutOff}, []offerScript{respondWith(http.StatusCreated, "ok")}
+	f := newFixture(t, s1, s2)
+	for range 4 {
+		o := f.do(t, http.MethodPost, "/store/orders", orderBody, withHeader(orderKeyHeader, "k"))
+		require.Equal(t, http.StatusCreated, o.status, o.body)
+	}
+	s2.server.Close()
+	o := f.do(t, http.MethodPost, "/store/orders", orderBody)
+	require.Equal(t, problem.OutcomeUnknown, o.problem.Outcome)
+}
+
+// Guards G5: a request that may have run at one instance and is then refused by
+// another is not reported as not run.
+func TestRefusalAfterALostAttemptIsNotNotRun(t *testing.T) {
+	h, e := newFakeSidecar(t, "h1", "hire"), newFakeSidecar(t, "e1", "pool")
+	full := refuseWith(problem.NotRun("queue_full", "full", time.Second))
+	h.offers = []offerScript{cutOff, full}
+	e.offers = []offerScript{cutOff, full}
+	f := newFixture(t, h, e)
+	for _, o := range []outcome{
+		f.do(t, http.MethodGet, "/hire/stock", ""),
+		f.do(t, http.MethodPost, textPath, wholeBody),
+	} {
+		require.Equal(t, problem.OutcomeIncomplete, o.problem.Outcome, o.body)
+		require.False(t, o.problem.Retryable)
+	}
+}
+
 // Guards against a repeatable call that fails with its first instance, and
 // against headers that must not pass.
 func TestRepeatableCallIsTriedElsewhere(t *testing.T) {
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -51,8 +51,10 @@
 	prefix   uint64
 	excluded []string
 	count    int
-	// last is the problem of the last try.
-	last problem.Problem
+	// last is the problem of the last try, and uncertain that of the last one
+	// after which the request may have run.
+	last      problem.Problem
+	uncertain *problem.Problem
 }
 
 func (s *session) newTries(svc *service.Service, prefix uint64) *tries {
@@ -69,21 +71,41 @@
 	for {
 		chosen, ok := t.next()
 		if !ok {
-			return t.last, false
+			return t.verdict(), false
 		}
 		r := try(chosen)
 		if r.done {
 			return problem.Problem{}, true
 		}
-		t.last = r.problem
+		t.note(r.problem)
 		t.excluded = append(t.excluded, chosen.Name)
 		t.session.decide("attempt", chosen.Name, choiceOf(r), r.problem.Type+": "+r.problem.Detail)
 		if !r.again || !t.mayRetry() {
-			return t.last, false
+			return t.verdict(), false
 		}
 	}
 }
 
+func (t *tries) note(p problem.Problem) {
+	t.last = p
+	if mayHaveRun(p) {
+		t.uncertain = &p
+	}
+}
+
+func mayHaveRun(p problem.Problem) bool {
+	return p.Outcome == problem.OutcomeUnknown || p.Outcome == problem.OutcomeIncomplete
+}
+
+// verdict returns the problem for the caller. After a try that may have run the
+// request, a later refusal does not mean that it was not run.
+func (t *tries) verdict() problem.Problem {
+	if t.uncertain != nil && !mayHaveRun(t.last) {
+		return *t.uncertain
+	}
+	return t.last
+}
+
 func choiceOf(r result) string {
 	if r.again {
 		return "retry elsewhere"
