Find the job of an attempt that was accepted a moment ago

Cause: the ledger accepts an attempt before its job can be found. Change: the repetition waits until the job is there or the attempt is settled. A starting sidecar asks for its predecessor's ledger at once and every 50 ms in its first seconds, not after a second: order_planned_stop was refused with quarantine although the hand-over was waiting. Ruled out: adding the job before the offer, because refused offers would then have jobs.

--- a/internal/process/sidecar/handover.go
+++ b/internal/process/sidecar/handover.go
@@ -27,8 +27,12 @@
 	handOverPeers = 16
 	// handOverTimeout bounds one call.
 	handOverTimeout = 2 * time.Second
-	// takeInterval is the time between two rounds of a starting sidecar.
-	takeInterval = time.Second
+	// takeInterval is the time between two rounds of a starting sidecar, and
+	// firstTakeInterval that of its first seconds, in which it learns the
+	// configuration and its peers. Until it has the ledger it refuses opaque keys.
+	takeInterval      = time.Second
+	firstTakeInterval = 50 * time.Millisecond
+	firstTakes        = 60
 	// maxDocumentBytes bounds a document, above the ledger's bound on results.
 	maxDocumentBytes = 64 << 20
 )
@@ -141,7 +145,7 @@
 // takeLoop asks the peers for the predecessor's ledger until it has it or the
 // quarantine ends.
 func (s *Sidecar) takeLoop(ctx context.Context) {
-	for every(ctx, takeInterval) {
+	for n := 0; every(ctx, takePause(n)); n++ {
 		svc := s.service()
 		if svc == nil {
 			continue
@@ -152,6 +156,13 @@
 	}
 }
 
+func takePause(round int) time.Duration {
+	if round < firstTakes {
+		return firstTakeInterval
+	}
+	return takeInterval
+}
+
 // take reports whether the predecessor's ledger was taken over. A leaving
 // sidecar takes none: it would take its own.
 func (s *Sidecar) take(ctx context.Context) bool {
--- a/internal/process/sidecar/streams.go
+++ b/internal/process/sidecar/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,12 +12,17 @@
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
 
-// readBatch is the largest number of tokens written at once.
-const readBatch = 256
+const (
+	// readBatch is the largest number of tokens written at once.
+	readBatch = 256
+	// joinInterval is the time between two looks for the job of an attempt that
+	// was accepted a moment ago.
+	joinInterval = 5 * time.Millisecond
+)
 
 // follow answers an attempt that shares the executor's fate.
 func (s *Sidecar) follow(w http.ResponseWriter, r *http.Request, a *attempt.Attempt, executor string) {
-	j, ok := s.jobs.get(executor)
+	j, ok := s.awaitJob(r, executor)
 	if !ok {
 		f := newFrameWriter(w, s.report)
 		defer f.close()
@@ -27,6 +33,22 @@
 	s.serveJob(w, r, j, executor, a.ID != executor)
 }
 
+// awaitJob returns the executor's job. The executor is in the ledger shortly
+// before its job can be found; the result is false once it is settled or the
+// requester has gone.
+func (s *Sidecar) awaitJob(r *http.Request, executor string) (*job, bool) {
+	for {
+		j, ok := s.jobs.get(executor)
+		state := s.ledger.Query(executor).State
+		if ok || (state != attempt.StateQueued && state != attempt.StateRunning) {
+			return j, ok
+		}
+		if !every(r.Context(), joinInterval) {
+			return nil, false
+		}
+	}
+}
+
 // serveJob writes the frames of a job from now to its end.
 func (s *Sidecar) serveJob(w http.ResponseWriter, r *http.Request, j *job, executor string, replayed bool) {
 	f := newFrameWriter(w, s.report)
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -110,9 +110,11 @@
 	idempotencyKey := flags.String("idempotency-key", "", "")
 	body := flags.String("body", `{"stand":"tall gold"}`, "")
 	method := flags.String("method", http.MethodPost, "")
+	untilKnown := flags.Bool("until-known", false, "")
 	name := argument(ts, parse(ts, flags, args), 0)
 	c := newCall(ts, *gateway, *key)
 	c.method, c.path, c.body = *method, "/hire/bookings", []byte(*body)
+	c.untilKnown = *untilKnown
 	if *idempotencyKey != "" {
 		c.header.Set("Idempotency-Key", *idempotencyKey)
 	}
