--- a/internal/capacity/measure/messages.go
+++ b/internal/capacity/measure/messages.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"encoding/json"
 	"strconv"
 	"strings"
 
@@ -21,6 +22,7 @@
 	streams := []int{50, 100, 200, 400}
 	return []definition{
 		{"heartbeat_bytes", "B/s", "stream", streams, heartbeatBytes},
+		{"instance_list_bytes", "B", "instance", []int{60, 350, 700, 1400}, instanceListBytes},
 		{"token_frame_bytes", "B/s", "stream", streams, tokenFrameBytes},
 	}
 }
@@ -48,6 +50,15 @@
 	return float64(total)
 }
 
+// instanceListBytes is the size of the platform's list.
+func instanceListBytes(n int) float64 {
+	data, err := json.Marshal(instances(n))
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(data))
+}
+
 func tokenFrameBytes(streams int) float64 {
 	data := `{"id":"` + strings.Repeat("x", chunkBytes-len(`{"id":""}`)) + `"}`
 	size := frameSize(frame.Frame{Kind: frame.KindToken, Seq: 1000, Data: []byte(data)})
