--- a/internal/process/gateway/generation_test.go
+++ b/internal/process/gateway/generation_test.go
@@ -283,6 +283,28 @@
 	require.Equal(t, http.StatusBadRequest, o.status)
 }
 
+// Guards against a trace or a request identifier that ends at the gateway, and
+// against identifiers that would break a header or a log line.
+func TestTraceAndRequestIDArePassedOn(t *testing.T) {
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	e := newFakeSidecar(t, "e1", "pool")
+	e.offers = []offerScript{whole("e1.a.1", 2)}
+	f := newFixture(t, e)
+	o := f.do(t, http.MethodPost, textPath, streamedBody,
+		withHeader("Traceparent", "00-"+trace+"-b7ad6b7169203331-01"), withHeader(requestIDHeader, "wedding-7"))
+	require.Contains(t, o.header.Get("Traceparent"), trace)
+	require.Equal(t, "wedding-7", o.header.Get(requestIDHeader))
+	attempts, _, _, _ := e.seen()
+	require.Equal(t, "wedding-7", attempts[0].RequestID)
+	e.mu.Lock()
+	require.Contains(t, e.traces[0], trace)
+	require.NotContains(t, e.traces[0], "b7ad6b7169203331", "the hop has a span of its own")
+	e.mu.Unlock()
+	require.Len(t, f.gateway.decisions.Find("wedding-7"), 1)
+	o = f.do(t, http.MethodPost, textPath, streamedBody, withHeader(requestIDHeader, "two words"))
+	require.NotContains(t, o.header.Get(requestIDHeader), " ")
+}
+
 // Guards against an engine's refusal that looks like a failure of the system,
 // and against fields that a caller must not choose.
 func TestEngineSeesTheRequest(t *testing.T) {
--- a/internal/process/gateway/harness_test.go
+++ b/internal/process/gateway/harness_test.go
@@ -59,8 +59,10 @@
 	offers  []func(s *fakeStream, a *attempt.Attempt)
 	resumes []func(s *fakeStream, generation string, after uint64)
 	// status is the state that inquiries return, in turn.
-	statuses  []attempt.Status
-	attempts  []attempt.Attempt
+	statuses []attempt.Status
+	attempts []attempt.Attempt
+	// traces are the trace headers of the offers.
+	traces    []string
 	revoked   []string
 	cancelled []string
 	resumed   int
@@ -174,6 +176,7 @@
 	}
 	f.mu.Lock()
 	f.attempts = append(f.attempts, a)
+	f.traces = append(f.traces, r.Header.Get("Traceparent"))
 	script, ok := take(&f.offers)
 	f.mu.Unlock()
 	if !ok {
