--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -220,6 +220,9 @@
 		"two encodings":       {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
 		"negative length":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", http.StatusBadRequest},
 		"bad chunk size":      {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
+		"no host":             {"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"two hosts":           {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", http.StatusBadRequest},
+		"control character":   {"GET / HTTP/1.1\r\nHost: a\r\nX-A: b\x00c\r\n\r\n", http.StatusBadRequest},
 		"old version":         {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", http.StatusHTTPVersionNotSupported},
 		"large header":        {"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-A: "+strings.Repeat("a", 1000)+"\r\n", 80) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
 	} {
--- a/internal/connection/listener/processor.go
+++ b/internal/connection/listener/processor.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio/nbhttp"
@@ -22,15 +23,16 @@
 	maxBody int64
 	// headerBytes is the size of the request line and header so far.
 	headerBytes int
-	// lengths and encodings count the headers that delimit the body.
-	lengths, encodings int
+	// lengths and encodings count the headers that delimit the body, and hosts
+	// those that name the host.
+	lengths, encodings, hosts int
 	// expectsContinue is true if the caller waits before it sends the body.
 	expectsContinue bool
 }
 
 func (p *processor) OnURL(parser *nbhttp.Parser, uri string) error {
 	p.headerBytes = len(uri)
-	p.lengths, p.encodings, p.expectsContinue = 0, 0, false
+	p.lengths, p.encodings, p.hosts, p.expectsContinue = 0, 0, 0, false
 	return p.Processor.OnURL(parser, uri)
 }
 
@@ -47,7 +49,13 @@
 		p.connection.refuse(problem.Rejected("header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the request header exceeds 64 KiB"))
 		return
 	}
+	if strings.ContainsFunc(value, isControl) {
+		p.connection.refuse(malformed("a header field contains a control character"))
+		return
+	}
 	switch key {
+	case "Host":
+		p.hosts++
 	case "Content-Length":
 		p.lengths++
 	case "Transfer-Encoding":
@@ -61,7 +69,9 @@
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
 	switch {
 	case p.lengths+p.encodings > 1:
-		p.connection.refuse(problem.Rejected("ambiguous_length", http.StatusBadRequest, "the request has more than one Content-Length or Transfer-Encoding"))
+		p.connection.refuse(malformed("the request has more than one Content-Length or Transfer-Encoding"))
+	case p.hosts != 1:
+		p.connection.refuse(malformed("the request has no Host or more than one"))
 	case int64(length) > p.maxBody:
 		p.connection.refuse(bodyTooLarge())
 	case p.expectsContinue:
@@ -88,6 +98,12 @@
 	}
 }
 
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+func malformed(detail string) problem.Problem {
+	return problem.Rejected("malformed_request", http.StatusBadRequest, detail)
+}
+
 func bodyTooLarge() problem.Problem {
 	return problem.Rejected("body_too_large", http.StatusRequestEntityTooLarge, "the request body exceeds the limit")
 }
@@ -99,6 +115,6 @@
 	case errors.Is(err, errVersion):
 		return problem.Rejected("unsupported_version", http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is supported")
 	default:
-		return problem.Rejected("malformed_request", http.StatusBadRequest, err.Error())
+		return malformed(err.Error())
 	}
 }
