Wait for the library's poller before a listener can be shut down

Cause: nbio clears its stop flag when a poller's goroutine is first scheduled. A stop before that is forgotten: the poller spins at 100% of a core and the stop never returns. Tests that start and stop listeners under load hung now and then, and a process that fails to open its second listener would, too. Ruled out by a stack dump: connections that stay open (the stop waited for the poller, not for connections).

A listener now has one poller, which only reads requests, and is returned after the poller has read a byte from a socket pair. The address is bound before the library starts, which stops itself when it cannot bind.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -29,6 +29,10 @@
 	// every idleSweep-th look includes the idle ones.
 	sweepInterval = 20 * time.Millisecond
 	idleSweep     = 50
+	// pollers is the number of goroutines that read requests. One is enough,
+	// because the handlers' goroutines write the answers, and awaitPoller relies
+	// on there being one.
+	pollers = 1
 	// libraryIdleTimeout keeps the library from closing idle connections, which
 	// the sweep does.
 	libraryIdleTimeout = 10 * 365 * 24 * time.Hour
@@ -123,9 +127,14 @@
 func New(options Options, handler http.Handler) (*Listener, error) {
 	// The library prints to standard output what the listener handles itself.
 	quietLibrary.Do(func() { logging.SetLevel(logging.LevelNone) })
+	inner, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", options.Address)
+	}
 	l := &Listener{
 		options: options.withDefaults(),
 		handler: handler,
+		socket:  &socket{Listener: inner, closed: make(chan struct{})},
 		stopped: make(chan struct{}),
 		open:    make(map[*nbio.Conn]*connection),
 		busy:    make(map[*connection]struct{}),
@@ -136,7 +145,10 @@
 	l.engine.OnOpen(l.opened)
 	l.engine.OnClose(l.closed)
 	if err := l.engine.Start(); err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", options.Address)
+		return nil, errors.CombineErrors(errors.Wrapf(err, "serve on %s", options.Address), l.socket.Close())
+	}
+	if err := awaitPoller(l.engine.Engine); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "serve on %s", options.Address), l.socket.Close())
 	}
 	l.swept.Add(1)
 	go l.sweep()
@@ -147,7 +159,8 @@
 	return nbhttp.Config{
 		Network:            "tcp",
 		Addrs:              []string{l.options.Address},
-		Listen:             l.listen,
+		Listen:             func(string, string) (net.Listener, error) { return l.socket, nil },
+		NPoller:            pollers,
 		MaxLoad:            l.options.MaxConnections,
 		ReadLimit:          l.options.MaxBodyBytes + maxHeaderBytes,
 		MaxHTTPBodySize:    l.options.MaxBodyBytes,
@@ -161,15 +174,6 @@
 	}
 }
 
-func (l *Listener) listen(network, address string) (net.Listener, error) {
-	inner, err := net.Listen(network, address)
-	if err != nil {
-		return nil, err
-	}
-	l.socket = &socket{Listener: inner, closed: make(chan struct{})}
-	return l.socket, nil
-}
-
 // Address returns the "ip:port" on which the listener accepts.
 func (l *Listener) Address() string { return l.socket.Addr().String() }
 
@@ -222,7 +226,7 @@
 func (l *Listener) receive(socket *nbio.Conn, data []byte) {
 	parser, ok := socket.Session().(*nbhttp.Parser)
 	if !ok {
-		_ = socket.Close()
+		socket.DataHandler()(socket, data)
 		return
 	}
 	c, ok := parser.Conn.(*connection)
--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -322,6 +322,32 @@
 	_ = idle.Close()
 }
 
+// Guards against a shutdown that never returns because the library forgets a stop
+// that comes before its poller runs.
+func TestShutdownRightAfterStart(t *testing.T) {
+	var group sync.WaitGroup
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for range 64 {
+		group.Go(func() {
+			for range 20 {
+				l, err := listener.New(listener.Options{Address: "127.0.0.1:0"}, http.NotFoundHandler())
+				if err == nil {
+					err = l.Shutdown(ctx)
+				}
+				if err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	l := start(t, listener.Options{}, func(http.ResponseWriter, *http.Request) {})
+	_, err := listener.New(listener.Options{Address: l.Address()}, http.NotFoundHandler())
+	require.Error(t, err, "the address is in use")
+}
+
 // Guards against an answer that looks whole after its handler failed.
 func TestPanicEndsTheAnswer(t *testing.T) {
 	l := start(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
