Name the stream in its answer and test that a stop finishes orders

The answer to an offer or a resumption carries the identifier that it is for, so that a gateway notices crossed answers.

The test of gone requesters passed without its mechanism, because the default admission timeout of 10 s revoked the work; its service now has one of 600 s.

--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -70,7 +70,7 @@
 		handler http.HandlerFunc
 		want    error
 	}{
-		"cut before the answer": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, link.ErrLost},
+		"cut before the answer":    {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, link.ErrLost},
 		"silent before the answer": {func(_ http.ResponseWriter, r *http.Request) { hang(r) }, link.ErrSilent},
 		"silent after the header": {func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Type", frame.MediaType)
--- a/internal/process/sidecar/frames.go
+++ b/internal/process/sidecar/frames.go
@@ -25,7 +25,10 @@
 	beat *time.Ticker
 }
 
-func newFrameWriter(w http.ResponseWriter, report func() load.Report) *frameWriter {
+// newFrameWriter begins the answer to the request for the identity, an attempt
+// or a generation.
+func newFrameWriter(w http.ResponseWriter, identity string, report func() load.Report) *frameWriter {
+	w.Header().Set(attempt.StreamHeader, identity)
 	w.Header().Set("Content-Type", frame.MediaType)
 	w.Header().Set("Cache-Control", "no-store")
 	return &frameWriter{writer: w, flusher: http.NewResponseController(w), report: report, beat: time.NewTicker(heartbeatInterval)}
--- a/internal/process/sidecar/harness_test.go
+++ b/internal/process/sidecar/harness_test.go
@@ -147,6 +147,8 @@
 func (h *harness) advance(d time.Duration) { h.ahead.Add(int64(d)) }
 
 func (h *harness) request(ctx context.Context, method, path string, body any, header ...string) *http.Response {
+	ctx, cancel := context.WithTimeout(ctx, patienceLimit)
+	h.t.Cleanup(cancel)
 	data, err := json.Marshal(body)
 	require.NoError(h.t, err)
 	r, err := http.NewRequestWithContext(ctx, method, h.url+path, bytes.NewReader(data))
@@ -184,7 +186,11 @@
 }
 
 func (h *harness) offer(ctx context.Context, a *attempt.Attempt) *frames {
-	return newFrames(h.t, h.request(ctx, http.MethodPost, "/v1/attempts", a))
+	response := h.request(ctx, http.MethodPost, "/v1/attempts", a)
+	if response.StatusCode == http.StatusOK {
+		require.Equal(h.t, a.ID, response.Header.Get(attempt.StreamHeader))
+	}
+	return newFrames(h.t, response)
 }
 
 // order returns a new order that this sidecar may run.
@@ -304,6 +310,7 @@
 	return service.Service{
 		Name: "hire-app", Kind: service.KindPlain, Slots: slots, ConcurrencyLimit: concurrency,
 		Orders: service.Orders{Methods: []string{http.MethodPost}},
+		Queue:  service.Queue{TimeoutMillis: 600_000},
 	}
 }
 
--- a/internal/process/sidecar/offers.go
+++ b/internal/process/sidecar/offers.go
@@ -207,7 +207,7 @@
 	}
 	s.decided(a, "admission", "queued", "")
 	s.signal()
-	s.serveJob(w, r, j, a.ID, false)
+	s.serveJob(w, r, j, a.ID)
 }
 
 // refuseAccepted revokes an attempt that the ledger accepted but that cannot be
--- a/internal/process/sidecar/run_test.go
+++ b/internal/process/sidecar/run_test.go
@@ -84,6 +84,32 @@
 	s.awaitStop()
 }
 
+// Guards against an order that a planned stop reports as lost while the upstream
+// still runs it, whether or not its requester is connected.
+func TestPlannedStopFinishesOrders(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	s := h.serve()
+	first := h.order(h.mint())
+	ctx, disconnect := context.WithCancel(context.Background())
+	require.Equal(t, frame.KindAccepted, h.offer(ctx, first).next().Kind)
+	h.await(func() bool { return upstream.calls.Load() == 1 })
+	disconnect()
+	h.stop()
+	h.await(h.sidecar.health.leaving)
+	select {
+	case err := <-s.stopped:
+		require.Fail(t, "the process stopped before the order was finished", "%v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	repeated := h.offer(context.Background(), h.order(first.OrderKey))
+	require.Equal(t, frame.KindAccepted, repeated.next().Kind)
+	close(upstream.hold)
+	require.Equal(t, frame.KindResponse, repeated.last().Kind)
+	s.awaitStop()
+	require.Equal(t, attempt.StateDone, h.sidecar.ledger.Query(first.ID).State)
+}
+
 // Guards against a stop that waits for ever although the platform ends the
 // process after its notice.
 func TestNoticeBoundsAPlannedStop(t *testing.T) {
@@ -164,6 +190,7 @@
 	s := h.serve()
 	h.stop()
 	s.awaitStop()
+	require.False(t, h.sidecar.take(context.Background()), "a leaving sidecar must not take its own ledger")
 
 	h.ahead.Store(0)
 	h.start()
--- a/internal/process/sidecar/streams.go
+++ b/internal/process/sidecar/streams.go
@@ -18,18 +18,21 @@
 func (s *Sidecar) follow(w http.ResponseWriter, r *http.Request, a *attempt.Attempt, executor string) {
 	j, ok := s.jobs.get(executor)
 	if !ok {
-		f := newFrameWriter(w, s.report)
+		f := newFrameWriter(w, a.ID, s.report)
 		defer f.close()
 		_ = s.writeSettled(f, r, s.ledger.Query(executor), true)
 		return
 	}
 	defer j.enter(r.Context())()
-	s.serveJob(w, r, j, executor, a.ID != executor)
+	s.serveJob(w, r, j, a.ID)
 }
 
-// serveJob writes the frames of a job from now to its end.
-func (s *Sidecar) serveJob(w http.ResponseWriter, r *http.Request, j *job, executor string, replayed bool) {
-	f := newFrameWriter(w, s.report)
+// serveJob answers the attempt, the job's own or one that joined it, with the
+// frames of the job to its end.
+func (s *Sidecar) serveJob(w http.ResponseWriter, r *http.Request, j *job, id string) {
+	executor := j.attempt.ID
+	replayed := id != executor
+	f := newFrameWriter(w, id, s.report)
 	defer f.close()
 	if err := f.heartbeat(); err != nil {
 		return
@@ -162,7 +165,7 @@
 
 // resumeTokens writes the tokens after the number.
 func (s *Sidecar) resumeTokens(w http.ResponseWriter, r *http.Request, g *run, after uint64) {
-	f := newFrameWriter(w, s.report)
+	f := newFrameWriter(w, g.log.ID(), s.report)
 	defer f.close()
 	if f.heartbeat() != nil {
 		return
