--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -239,7 +239,7 @@
 		{Name: "bakery", KeySHA256: account.HashKey("key-bakery")},
 		{Name: "couple", KeySHA256: account.HashKey("key-couple")},
 	}
-	err := writeJSON(filepath.Join(directory, "accounts.flamingohold.json"), map[string]any{"accounts": accounts})
+	err := writeJSON(filepath.Join(directory, "accounts.flamingohold.json"), accounts)
 	if err != nil {
 		return err
 	}
@@ -260,6 +260,9 @@
 		}
 	}
 	for _, s := range []service.Service{engine, plain} {
+		if s.Name == plainService && len(plain.Slots) == 0 {
+			continue
+		}
 		if err := writeJSON(filepath.Join(directory, "services", s.Name, "service.flamingohold.json"), s); err != nil {
 			return err
 		}
