Record orders that come before the configuration, and bound hand-overs

An order without a key was refused as not run before the first configuration, but not recorded: a later copy of it ran. It is now marked as revoked.

A ledger with more than 6 MiB of answers exceeded the bound on request bodies and was not handed over; it now goes without the answers, so that its orders still cannot run again.

--- a/internal/process/sidecar/handover.go
+++ b/internal/process/sidecar/handover.go
@@ -17,6 +17,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
@@ -33,8 +34,8 @@
 	takeInterval      = time.Second
 	firstTakeInterval = 50 * time.Millisecond
 	firstTakes        = 60
-	// maxDocumentBytes bounds a document, above the ledger's bound on results.
-	maxDocumentBytes = 64 << 20
+	// maxDocumentBytes bounds a document, below the bound on request bodies.
+	maxDocumentBytes = 6 << 20
 )
 
 func (s *Sidecar) handleHandOver(w http.ResponseWriter, r *http.Request) {
@@ -110,7 +111,7 @@
 	}
 	s.taking.Lock()
 	defer s.taking.Unlock()
-	body, err := json.Marshal(s.document(svc))
+	body, err := encodeDocument(s.document(svc))
 	for _, address := range s.peers() {
 		if err != nil {
 			break
@@ -138,6 +139,27 @@
 	}
 }
 
+// encodeDocument encodes the document, without the stored results if it would be
+// too large with them. The successor then knows that the orders ran, but not
+// their answers.
+func encodeDocument(d handover.Document) ([]byte, error) {
+	body, err := json.Marshal(d)
+	if err != nil || len(body) <= maxDocumentBytes {
+		return body, errors.Wrap(err, "encode ledger")
+	}
+	d.Entries = slices.Clone(d.Entries)
+	for i := range d.Entries {
+		if d.Entries[i].Result != nil {
+			d.Entries[i].Result = &ledger.Result{Dropped: true}
+		}
+	}
+	body, err = json.Marshal(d)
+	if err == nil && len(body) > maxDocumentBytes {
+		err = errors.Newf("ledger of %d keys is too large", len(d.Entries))
+	}
+	return body, errors.Wrap(err, "encode ledger")
+}
+
 func (s *Sidecar) handOverPath(suffix string) string {
 	return "/v1/hand-overs/" + url.PathEscape(s.settings.Slot) + suffix
 }
--- a/internal/process/sidecar/offers.go
+++ b/internal/process/sidecar/offers.go
@@ -44,11 +44,11 @@
 
 func (s *Sidecar) decide(w http.ResponseWriter, r *http.Request, a *attempt.Attempt) {
 	svc := s.service()
+	now := s.clock()
 	if svc == nil || a.Service != s.settings.Service {
-		s.refuse(w, s.notServed(a), a)
+		s.refuse(w, s.notServed(a, now), a)
 		return
 	}
-	now := s.clock()
 	if refusal, refused := s.refusesUnrecorded(a); refused {
 		s.refuse(w, refusal, a)
 		return
@@ -70,16 +70,20 @@
 	}
 }
 
-// notServed refuses an attempt while its service is not known here. An order
-// may have run under an earlier configuration.
-func (s *Sidecar) notServed(a *attempt.Attempt) problem.Problem {
-	if a.Service == s.settings.Service && a.OrderKey == "" {
-		return problem.NotRun("starting", "there is no configuration of the service yet", retryElsewhere)
+// notServed refuses an attempt whose service is not known here, or not yet. An
+// order is recorded as revoked, so that a later copy does not run either; one
+// with a key may have run elsewhere.
+func (s *Sidecar) notServed(a *attempt.Attempt, now time.Time) problem.Problem {
+	if !a.Repeatable {
+		view := s.ledger.Revoke(a.ID, a.BoundIncarnation, now)
+		if a.OrderKey != "" || view.State != attempt.StateRevoked {
+			return problem.Unknown("not_served", "this sidecar is not of the service or has no configuration yet")
+		}
 	}
-	if a.OrderKey == "" {
+	if a.Service != s.settings.Service {
 		return problem.Rejected("wrong_service", http.StatusMisdirectedRequest, "this sidecar is not of the service")
 	}
-	return problem.Unknown("wrong_service", "this sidecar is not of the service or has no configuration yet")
+	return problem.NotRun("starting", "there is no configuration of the service yet", retryElsewhere)
 }
 
 // refusesUnrecorded refuses repeatable work that cannot be taken now without a
--- a/internal/process/sidecar/orders_test.go
+++ b/internal/process/sidecar/orders_test.go
@@ -242,3 +242,20 @@
 	h.advance(h.service.KeyLifetime() + ledger.Window)
 	h.await(func() bool { return h.sidecar.ledger.Len() == 0 })
 }
+
+// Guards against an order that runs after its copy was refused as not run while
+// the process had no configuration.
+func TestOrderBeforeTheConfiguration(t *testing.T) {
+	upstream := newFakeService(t, false)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	inForce := h.configurations.Current()
+	h.configurations.mu.Lock()
+	h.configurations.current = nil
+	h.configurations.mu.Unlock()
+	early := h.order("")
+	requireOutcome(t, h.offer(context.Background(), early).last(), problem.OutcomeNotRun)
+	requireOutcome(t, h.offer(context.Background(), h.order("opaque")).last(), problem.OutcomeUnknown)
+	h.configurations.set(inForce)
+	requireOutcome(t, h.offer(context.Background(), early).last(), problem.OutcomeNotRun)
+	require.Zero(t, upstream.calls.Load())
+}
--- a/internal/process/sidecar/run_test.go
+++ b/internal/process/sidecar/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,7 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/load"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
@@ -230,3 +233,19 @@
 	set.PeerAddress = "256.0.0.1:0"
 	require.Error(t, s.Run(context.Background()))
 }
+
+// Guards against a ledger that no peer accepts because of the stored answers.
+func TestLargeLedgerIsHandedOverWithoutAnswers(t *testing.T) {
+	d := handover.Document{Service: "hire-app", Slot: "a"}
+	for range 3 {
+		result := &ledger.Result{Status: http.StatusCreated, Body: make([]byte, maxDocumentBytes/2)}
+		d.Entries = append(d.Entries, ledger.Entry{Key: "k", State: attempt.StateDone, Result: result})
+	}
+	body, err := encodeDocument(d)
+	require.NoError(t, err)
+	require.Less(t, len(body), maxDocumentBytes)
+	var decoded handover.Document
+	require.NoError(t, json.Unmarshal(body, &decoded))
+	require.Len(t, decoded.Entries, 3)
+	require.True(t, decoded.Entries[0].Result.Dropped)
+}
--- /dev/null
+++ b/internal/request/generation/bench_test.go
@@ -0,0 +1,24 @@
+package generation_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/request/generation"
+)
+
+// BenchmarkToken measures a token on its way through the log.
+func BenchmarkToken(b *testing.B) {
+	l := generation.New("i.c.1", "bakery", 1<<20, start)
+	data := make([]byte, 200)
+	b.ReportAllocs()
+	for seq := uint64(1); b.Loop(); seq++ {
+		accepted, err := l.Append(seq, data)
+		require.True(b, accepted)
+		require.NoError(b, err)
+		_, err = l.Read(seq-1, 256)
+		require.NoError(b, err)
+		l.Acknowledge(seq)
+	}
+}
--- a/internal/request/generation/generation.go
+++ b/internal/request/generation/generation.go
@@ -50,7 +50,8 @@
 	readers   int
 	// idleSince is when the last reader left, valid while readers is 0.
 	idleSince time.Time
-	// changed is closed and replaced at each change that a waiter may await.
+	// changed is closed at the next change that a waiter may await, nil while
+	// nobody waits.
 	changed chan struct{}
 }
 
@@ -64,7 +65,6 @@
 		first:     1,
 		state:     StateOpen,
 		idleSince: now,
-		changed:   make(chan struct{}),
 	}
 }
 
@@ -120,8 +120,10 @@
 func (l *Log) last() uint64 { return l.first + uint64(len(l.tokens)) - 1 }
 
 func (l *Log) notify() {
-	close(l.changed)
-	l.changed = make(chan struct{})
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
 }
 
 // Last returns the number of the last token, 0 if there is none.
@@ -203,6 +205,9 @@
 func (l *Log) Changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
 	return l.changed
 }
 
