--- a/internal/process/sidecar/run_test.go
+++ b/internal/process/sidecar/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,7 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/load"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
@@ -84,6 +87,32 @@
 	s.awaitStop()
 }
 
+// Guards against an order that a planned stop reports as lost while the upstream
+// still runs it, whether or not its requester is connected.
+func TestPlannedStopFinishesOrders(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	s := h.serve()
+	first := h.order(h.mint())
+	ctx, disconnect := context.WithCancel(context.Background())
+	require.Equal(t, frame.KindAccepted, h.offer(ctx, first).next().Kind)
+	h.await(func() bool { return upstream.calls.Load() == 1 })
+	disconnect()
+	h.stop()
+	h.await(h.sidecar.health.leaving)
+	select {
+	case err := <-s.stopped:
+		require.Fail(t, "the process stopped before the order was finished", "%v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	repeated := h.offer(context.Background(), h.order(first.OrderKey))
+	require.Equal(t, frame.KindAccepted, repeated.next().Kind)
+	close(upstream.hold)
+	require.Equal(t, frame.KindResponse, repeated.last().Kind)
+	s.awaitStop()
+	require.Equal(t, attempt.StateDone, h.sidecar.ledger.Query(first.ID).State)
+}
+
 // Guards against a stop that waits for ever although the platform ends the
 // process after its notice.
 func TestNoticeBoundsAPlannedStop(t *testing.T) {
@@ -164,6 +193,7 @@
 	s := h.serve()
 	h.stop()
 	s.awaitStop()
+	require.False(t, h.sidecar.take(context.Background()), "a leaving sidecar must not take its own ledger")
 
 	h.ahead.Store(0)
 	h.start()
@@ -203,3 +233,19 @@
 	set.PeerAddress = "256.0.0.1:0"
 	require.Error(t, s.Run(context.Background()))
 }
+
+// Guards against a ledger that no peer accepts because of the stored answers.
+func TestLargeLedgerIsHandedOverWithoutAnswers(t *testing.T) {
+	d := handover.Document{Service: "hire-app", Slot: "a"}
+	for range 3 {
+		result := &ledger.Result{Status: http.StatusCreated, Body: make([]byte, maxDocumentBytes/2)}
+		d.Entries = append(d.Entries, ledger.Entry{Key: "k", State: attempt.StateDone, Result: result})
+	}
+	body, err := encodeDocument(d)
+	require.NoError(t, err)
+	require.Less(t, len(body), maxDocumentBytes)
+	var decoded handover.Document
+	require.NoError(t, json.Unmarshal(body, &decoded))
+	require.Len(t, decoded.Entries, 3)
+	require.True(t, decoded.Entries[0].Result.Dropped)
+}
