Measure when a returned data centre works again

Found by the scenario data_centre_move with 4 engines: after its return the engines of the data centre were ready and idle for at least 11 s, until the end of the load, while the others had up to 32 attempts queued. Cause, from reading the gateway: a sidecar's report of leaving is held for 60 s (membership) unless a later report says ready, and the gateway's probe loop asks only usable instances, so that no such report comes. The fix belongs to the gateway: probe also instances that are held as leaving while their data centre is in service.

--- a/internal/standin/benchmark/session.go
+++ b/internal/standin/benchmark/session.go
@@ -36,10 +36,22 @@
 	files      string
 	profile    engine.Profile
 
-	// begunAtBound and lateWork belong to the data centre move of the running
-	// scenario.
+	// end is when the arrivals of the running scenario end.
+	end time.Time
+	// move is the data centre move of the running scenario.
+	move move
+}
+
+// move is what was measured while a data centre left and returned.
+type move struct {
+	// begunAtBound is what its engines had begun when the bound of G3 passed.
 	begunAtBound uint64
-	lateWork     int
+	// lateWork is what they began between the bound and the return.
+	lateWork int
+	// returnDelay is the time from the return to the first work, unless
+	// neverReturned is true.
+	returnDelay   time.Duration
+	neverReturned bool
 }
 
 // fault is the part of an engine's fault that the scenarios use.
@@ -136,10 +148,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s.lateWork = 0
+	s.move = move{}
 	cpuBefore := s.processorTimes()
 	began := time.Now()
 	duration := s.benchmark.options.Duration
+	s.end = began.Add(duration)
 	actionsDone := s.startActions(ctx, c, duration)
 	shape := s.shape(c, s.benchmark.options.Seed, duration)
 	result, err := s.generator.Run(ctx, loadgen.Schedule(shape), duration, s.benchmark.options.Drain)
@@ -151,7 +164,8 @@
 		return nil, err
 	}
 	m := &Measurement{
-		Scenario: c.name, Result: result, Preemptions: preemptions(before, after), LateWork: s.lateWork,
+		Scenario: c.name, Result: result, Preemptions: preemptions(before, after), LateWork: s.move.lateWork,
+		ReturnDelay: s.move.returnDelay, NeverReturned: s.move.neverReturned,
 	}
 	elapsed := time.Since(began)
 	for role, used := range s.processorTimes() {
--- a/internal/standin/benchreport/benchreport.go
+++ b/internal/standin/benchreport/benchreport.go
@@ -76,6 +76,7 @@
 		{"late work in a data centre out of service", func(m *benchmark.Measurement) string {
 			return fmt.Sprint(m.LateWork)
 		}},
+		{"s until a returned data centre works", returnDelay},
 		{"gateways / sidecars cores", func(m *benchmark.Measurement) string {
 			return fmt.Sprintf("%.2f / %.2f", m.Cores[0], m.Cores[1])
 		}},
@@ -101,6 +102,16 @@
 	return lowest
 }
 
+func returnDelay(m *benchmark.Measurement) string {
+	switch {
+	case m.NeverReturned:
+		return "never"
+	case m.ReturnDelay == 0:
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", m.ReturnDelay.Seconds())
+}
+
 func percent(part, whole int) string {
 	if whole == 0 {
 		return "-"
