--- a/internal/standin/benchreport/benchreport.go
+++ b/internal/standin/benchreport/benchreport.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,7 +40,7 @@
 		{"policy", func(m *benchmark.Measurement) string { return m.Policy }},
 		{"sent", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Sent) }},
 		{"complete", func(m *benchmark.Measurement) string { return percent(m.Result.Completed, m.Result.Sent) }},
-		{"refused", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.RefusedTotal()) }},
+		{"refused by kind", func(m *benchmark.Measurement) string { return refusals(m.Result.Refused) }},
 		{"incomplete", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Incomplete) }},
 		{"broken", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Broken) }},
 		{"unfinished", func(m *benchmark.Measurement) string { return fmt.Sprint(m.Result.Unfinished) }},
@@ -102,6 +104,18 @@
 	return lowest
 }
 
+// refusals lists the counts by the last part of the problem type.
+func refusals(counts map[string]int) string {
+	if len(counts) == 0 {
+		return "0"
+	}
+	var texts []string
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		texts = append(texts, fmt.Sprintf("%d %s", counts[kind], kind[strings.LastIndexByte(kind, ':')+1:]))
+	}
+	return strings.Join(texts, ", ")
+}
+
 func returnDelay(m *benchmark.Measurement) string {
 	switch {
 	case m.NeverReturned:
--- a/internal/standin/benchreport/benchreport_test.go
+++ b/internal/standin/benchreport/benchreport_test.go
@@ -20,7 +20,7 @@
 	return benchmark.Measurement{
 		Deployment: "fjordlam", Scenario: "burst", Policy: "full", Preemptions: 7,
 		Result: &loadgen.Result{
-			Sent: 4, Completed: 3, LostTokens: 5, Duration: time.Second, Tokens: 9,
+			Sent: 4, Completed: 3, LostTokens: 5, Refused: map[string]int{"urn:flamingohold:problem:queue_full": 1}, Duration: time.Second, Tokens: 9,
 			FirstToken: h, Gap: h, Stall: h, Total: h, Call: h, TokensBySecond: []int{4, 5},
 		},
 	}
@@ -41,6 +41,7 @@
 	require.Equal(t, "5 / 0", cells["lost / doubled tokens"])
 	require.Equal(t, "25 / 25 / 25", cells["first token p50 / p95 / p99 ms"])
 	require.Equal(t, "7", cells["preemptions"])
+	require.Equal(t, "1 queue_full", cells["refused by kind"])
 }
 
 // Guards against a page that needs another file or lacks the plots.
