--- a/internal/process/routing/routing.go
+++ b/internal/process/routing/routing.go
@@ -71,8 +71,8 @@
 	swept time.Time
 }
 
-// New returns a router for the gateway with the name. The seed makes its
-// random choices reproducible.
+// New returns a router for the gateway with the name, which must be written as
+// in the list of SetGateways. The seed makes its random choices reproducible.
 func New(name string, policy fleet.Policy, seed uint64) *Router {
 	r := &Router{
 		name:    name,
