Send the load once a second to each gateway, not on each stream

Cause: docs/CAPACITY.md, series heartbeat_bytes: 332 B/s for each stream, so the 349 streams of a gateway at the target size cost 116 KB/s, against 20 KB/s for all control. Change: a sidecar remembers when it told each gateway its load and leaves the report out of other frames; a stream on which tokens flow needs no heartbeat. Ruled out: a report every few seconds on each stream, which still grows with the streams.

--- /dev/null
+++ b/internal/process/reportpace/doc.go
@@ -0,0 +1,2 @@
+// Package reportpace bounds how often a sidecar tells each gateway its load.
+package reportpace
--- a/internal/process/sidecar/frames.go
+++ b/internal/process/sidecar/frames.go
@@ -20,14 +20,15 @@
 	// flusher is the writer.
 	flusher *http.ResponseController
 	buffer  []byte
-	report  func() load.Report
+	// report returns the load if the requester is to be told it, else nil.
+	report func() *load.Report
 	// beat fires when a heartbeat is due.
 	beat *time.Ticker
 }
 
 // newFrameWriter begins the answer to the request for the identity, an attempt
 // or a generation.
-func newFrameWriter(w http.ResponseWriter, identity string, report func() load.Report) *frameWriter {
+func newFrameWriter(w http.ResponseWriter, identity string, report func() *load.Report) *frameWriter {
 	w.Header().Set(attempt.StreamHeader, identity)
 	w.Header().Set("Content-Type", frame.MediaType)
 	w.Header().Set("Cache-Control", "no-store")
@@ -36,10 +37,9 @@
 
 func (f *frameWriter) close() { f.beat.Stop() }
 
-// send writes a frame that carries the load.
+// send writes a frame, with the load if that is due.
 func (f *frameWriter) send(message frame.Frame) error {
-	report := f.report()
-	message.Load = &report
+	message.Load = f.report()
 	var err error
 	f.buffer, err = message.Append(f.buffer[:0])
 	if err != nil {
@@ -57,14 +57,24 @@
 
 func (f *frameWriter) heartbeat() error { return f.send(frame.Frame{Kind: frame.KindHeartbeat}) }
 
-// heartbeatIfDue keeps the load reports coming while tokens flow.
+// heartbeatIfDue keeps the load reports coming while tokens flow. Tokens
+// themselves show that the link is alive.
 func (f *frameWriter) heartbeatIfDue() error {
 	select {
 	case <-f.beat.C:
-		return f.heartbeat()
 	default:
 		return nil
 	}
+	report := f.report()
+	if report == nil {
+		return nil
+	}
+	var err error
+	heartbeat := frame.Frame{Kind: frame.KindHeartbeat, Load: report}
+	if f.buffer, err = heartbeat.Append(f.buffer[:0]); err != nil {
+		return err
+	}
+	return f.flush()
 }
 
 // tokens writes the tokens that follow the given number.
--- a/internal/process/sidecar/health.go
+++ b/internal/process/sidecar/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 )
 
@@ -125,6 +127,19 @@
 	return r
 }
 
+// reporter returns the function that supplies the load for the frames of an
+// answer, nil while the requester was told it less than an interval ago.
+func (s *Sidecar) reporter(r *http.Request) func() *load.Report {
+	peer := r.Header.Get(attempt.PeerHeader)
+	return func() *load.Report {
+		if !s.pace.Due(peer, s.clock()) {
+			return nil
+		}
+		report := s.report()
+		return &report
+	}
+}
+
 // watchUpstream probes the upstream until the context ends.
 func (s *Sidecar) watchUpstream(ctx context.Context) {
 	s.probe(ctx)
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/quarantine"
+	"github.com/flamingohold/flamingohold/internal/process/reportpace"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
@@ -76,6 +77,8 @@
 	// this process cannot take its own.
 	taking    sync.Mutex
 	decisions *decisions.Ring
+	// pace bounds the load reports to each gateway.
+	pace *reportpace.Pace
 	// peerClient opens a connection for each call, because a kept one can have
 	// gone silent unnoticed.
 	peerClient *http.Client
@@ -120,6 +123,7 @@
 		quarantine:   quarantine.New(d.settings.Slot, now),
 		handovers:    handover.New(),
 		decisions:    decisions.New(d.settings.Name, decisions.DefaultCapacity),
+		pace:         reportpace.New(),
 		peerClient:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		jobs:         newRegistry[*job](),
 		runs:         newRegistry[*run](),
--- a/internal/process/sidecar/streams.go
+++ b/internal/process/sidecar/streams.go
@@ -24,7 +24,7 @@
 func (s *Sidecar) follow(w http.ResponseWriter, r *http.Request, a *attempt.Attempt, executor string) {
 	j, ok := s.awaitJob(r, executor)
 	if !ok {
-		f := newFrameWriter(w, a.ID, s.report)
+		f := newFrameWriter(w, a.ID, s.reporter(r))
 		defer f.close()
 		_ = s.writeSettled(f, r, s.ledger.Query(executor), true)
 		return
@@ -54,7 +54,7 @@
 func (s *Sidecar) serveJob(w http.ResponseWriter, r *http.Request, j *job, id string) {
 	executor := j.attempt.ID
 	replayed := id != executor
-	f := newFrameWriter(w, id, s.report)
+	f := newFrameWriter(w, id, s.reporter(r))
 	defer f.close()
 	if err := f.heartbeat(); err != nil {
 		return
@@ -187,7 +187,7 @@
 
 // resumeTokens writes the tokens after the number.
 func (s *Sidecar) resumeTokens(w http.ResponseWriter, r *http.Request, g *run, after uint64) {
-	f := newFrameWriter(w, g.log.ID(), s.report)
+	f := newFrameWriter(w, g.log.ID(), s.reporter(r))
 	defer f.close()
 	if f.heartbeat() != nil {
 		return
