Check the reading of /proc by its text

The test compared a block of 64 MiB with the growth of the resident memory, which fails under the race detector, whose shadow memory is resident too. The fields and units are now checked exactly on a sample of each file; it fails for neighbouring fields.

--- a/internal/capacity/processes/usage.go
+++ b/internal/capacity/processes/usage.go
@@ -36,25 +36,34 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "read memory")
 	}
-	for line := range strings.Lines(string(content)) {
+	return parseMemory(string(content))
+}
+
+// parseMemory returns the anonymous resident memory in bytes of the content of
+// /proc/PID/status.
+func parseMemory(text string) (float64, error) {
+	for line := range strings.Lines(text) {
 		value, ok := strings.CutPrefix(line, "RssAnon:")
 		if !ok {
 			continue
 		}
-		kilobytes, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 64)
+		kilobytes, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 64)
 		return kilobytes * 1024, errors.Wrap(err, "read memory")
 	}
 	return 0, errors.New("read memory: no RssAnon")
 }
 
-// processorTime adds the user and system time, which are the fields 14 and 15
-// of /proc/PID/stat. The name in field 2 may hold spaces.
 func processorTime(pid int) (time.Duration, error) {
 	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, errors.Wrap(err, "read processor time")
 	}
-	text := string(content)
+	return parseProcessorTime(string(content))
+}
+
+// parseProcessorTime adds the user and system time, which are the fields 14 and
+// 15 of /proc/PID/stat. The name in field 2 may hold spaces and parentheses.
+func parseProcessorTime(text string) (time.Duration, error) {
 	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
 	const userField, systemField = 11, 12
 	if len(fields) <= systemField {
