Add a chaos test with a seeded mix of faults

Cause: the scripts cause one failure at a time; the guarantees must hold while failures come together or twice. Change: callers and orders run against three gateways, three engines and three order desks while links, processes, data centres and the configuration service fail at random by a seed; callers' and upstreams' counts are compared. make soak runs it for ten minutes.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 capacity: build ## Measures the slopes of docs/CAPACITY.md; ONLY=NAME measures one series.
 	$(BIN)/capacity $(if $(ONLY),--only $(ONLY),--out docs/CAPACITY.md)
+
+soak: build ## Runs the chaos test for ten minutes; SEED selects the mix of faults.
+	CHAOS_SEED=$(or $(SEED),1) CHAOS_SECONDS=600 $(GO) test -count=1 -v -timeout 30m -run '^TestChaos$$' ./scenarios
--- a/scenarios/call_test.go
+++ b/scenarios/call_test.go
@@ -61,6 +61,19 @@
 // event is a server-sent event with a token.
 type event struct{ id, text string }
 
+// newCall returns a call of the account with the key through the gateways, whose
+// names are separated by commas.
+func (c *cluster) newCall(gateways, key string) *call {
+	created := &call{header: http.Header{"Content-Type": {"application/json"}}}
+	if key != "" {
+		created.header.Set("Authorization", "Bearer "+key)
+	}
+	for _, g := range strings.Split(gateways, ",") {
+		created.addresses = append(created.addresses, c.address(g, "caller"))
+	}
+	return created
+}
+
 func (c *call) start() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	c.cancel = cancel
--- /dev/null
+++ b/scenarios/chaos_test.go
@@ -0,0 +1,335 @@
+package scenarios_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+	"github.com/flamingohold/flamingohold/pkg/problem"
+)
+
+const (
+	defaultChaosSeed     = 1
+	defaultChaosDuration = 20 * time.Second
+	chaosCallers         = 12
+	chaosOrderers        = 6
+	maxChaosTokens       = 400
+	// maxFreeze is longer than the heartbeat timeout of 3 s.
+	maxFreeze = 5 * time.Second
+	// chaosPause is the longest time between two faults.
+	chaosPause = 1500 * time.Millisecond
+	// orderDelay is how long the plain service runs an order, so that faults
+	// meet running orders.
+	orderDelay = "300ms"
+)
+
+// chaos is one run of callers and faults against a cluster.
+type chaos struct {
+	t       *testing.T
+	cluster *cluster
+	stop    chan struct{}
+
+	mu     sync.Mutex
+	asked  []*call
+	orders map[string]*call
+	faults map[string]int
+}
+
+// Guards the guarantees under a seeded mix of faults: no token is lost, doubled
+// or of another generation, no partial answer ends cleanly, no order runs twice,
+// and none that was called not run has run. CHAOS_SEED and CHAOS_SECONDS change
+// the mix of faults and the duration.
+func TestChaos(t *testing.T) {
+	seed, duration := chaosParameters(t)
+	c := new(cluster)
+	c.initialise(t.TempDir(), shape{gateways: 3, engines: 3, plain: 3, slowdown: 1, plainDelay: orderDelay})
+	defer c.close()
+	defer saveLogs(t, c)
+	require.NoError(t, c.start())
+	h := &chaos{t: t, cluster: c, stop: make(chan struct{}), orders: make(map[string]*call), faults: make(map[string]int)}
+	var callers sync.WaitGroup
+	for n := range chaosCallers {
+		callers.Go(func() { h.askRepeatedly(rand.New(rand.NewPCG(seed, uint64(n)))) })
+	}
+	for n := range chaosOrderers {
+		callers.Go(func() { h.orderRepeatedly(rand.New(rand.NewPCG(seed, uint64(100+n)))) })
+	}
+	h.inject(rand.New(rand.NewPCG(seed, 1000)), duration)
+	close(h.stop)
+	callers.Wait()
+	t.Logf("seed %d, %s, faults %v", seed, duration, h.faults)
+	h.checkAnswers()
+	h.checkOrders()
+}
+
+func chaosParameters(t *testing.T) (uint64, time.Duration) {
+	seed, duration := uint64(defaultChaosSeed), defaultChaosDuration
+	if text := os.Getenv("CHAOS_SEED"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		seed = n
+	}
+	if text := os.Getenv("CHAOS_SECONDS"); text != "" {
+		n, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		duration = time.Duration(n) * time.Second
+	}
+	return seed, duration
+}
+
+func (h *chaos) stopped() bool {
+	select {
+	case <-h.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// gateways returns all gateways in a random order, so that a caller reconnects
+// through another one.
+func (h *chaos) gateways(random *rand.Rand) string {
+	names := []string{"gateway-1", "gateway-2", "gateway-3"}
+	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return strings.Join(names, ",")
+}
+
+func (h *chaos) askRepeatedly(random *rand.Rand) {
+	for !h.stopped() {
+		c := h.cluster.newCall(h.gateways(random), "key-bakery")
+		c.method, c.path = http.MethodPost, "/v1/completions"
+		c.tokens = 1 + random.IntN(maxChaosTokens)
+		c.prompt = "quote " + uuid.NewString()
+		c.resume = true
+		body, err := json.Marshal(map[string]any{"model": model, "prompt": c.prompt, "max_tokens": c.tokens, "stream": true})
+		if err != nil {
+			h.t.Error(err)
+			return
+		}
+		c.body = body
+		c.start()
+		<-c.ended
+		h.mu.Lock()
+		h.asked = append(h.asked, c)
+		h.mu.Unlock()
+	}
+}
+
+// orderRepeatedly sends orders with minted keys, each repeated through other
+// gateways until its outcome is known or the call's time is over.
+func (h *chaos) orderRepeatedly(random *rand.Rand) {
+	for !h.stopped() {
+		key, ok := h.mint(random)
+		if !ok {
+			time.Sleep(resumeDelay)
+			continue
+		}
+		c := h.cluster.newCall(h.gateways(random), "key-bakery")
+		c.method, c.path, c.body = http.MethodPost, "/hire/bookings", []byte(`{"stand":"tall gold"}`)
+		c.header.Set("Idempotency-Key", key)
+		c.resume = true
+		c.start()
+		<-c.ended
+		h.mu.Lock()
+		h.orders[key] = c
+		h.mu.Unlock()
+	}
+}
+
+func (h *chaos) mint(random *rand.Rand) (string, bool) {
+	gateway, _, _ := strings.Cut(h.gateways(random), ",")
+	url := "http://" + h.cluster.address(gateway, "caller") + "/v1/order-keys?service=" + plainService
+	request, err := http.NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		return "", false
+	}
+	request.Header.Set("Authorization", "Bearer key-bakery")
+	client := &http.Client{Timeout: maxFreeze, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		OrderKey string `json:"order_key"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return "", false
+	}
+	return answer.OrderKey, answer.OrderKey != ""
+}
+
+// fault is one kind of fault. It heals what it broke before it returns.
+type fault struct {
+	name   string
+	inject func(random *rand.Rand) error
+}
+
+func (h *chaos) faultKinds() []fault {
+	return []fault{
+		{"link_cut", func(r *rand.Rand) error { h.link(r).Cut(); return nil }},
+		{"link_silent", func(r *rand.Rand) error { h.link(r).Silence(); return nil }},
+		{"link_refused", h.refuseLink},
+		{"gateway_killed", func(r *rand.Rand) error { return h.replace(h.gateway(r), syscall.SIGKILL) }},
+		{"gateway_stopped", func(r *rand.Rand) error { return h.replace(h.gateway(r), syscall.SIGTERM) }},
+		{"gateway_frozen", func(r *rand.Rand) error { return h.freeze(h.gateway(r), r) }},
+		{"sidecar_killed", func(r *rand.Rand) error { return h.replace(h.instance(r), syscall.SIGKILL) }},
+		{"sidecar_stopped", func(r *rand.Rand) error { return h.replace(h.instance(r), syscall.SIGTERM) }},
+		{"sidecar_frozen", func(r *rand.Rand) error { return h.freeze(h.instance(r), r) }},
+		{"engine_killed", func(r *rand.Rand) error { return h.replace("upstream-"+h.engine(r), syscall.SIGKILL) }},
+		{"engine_cold", h.turnCold},
+		{"data_centre_moved", h.moveDataCentre},
+		{"configuration_service", h.breakConfigurationService},
+	}
+}
+
+func (h *chaos) inject(random *rand.Rand, duration time.Duration) {
+	kinds := h.faultKinds()
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		f := kinds[random.IntN(len(kinds))]
+		require.NoError(h.t, f.inject(random), f.name)
+		h.faults[f.name]++
+		time.Sleep(time.Duration(random.Int64N(int64(chaosPause))))
+	}
+}
+
+func (h *chaos) gateway(r *rand.Rand) string { return fmt.Sprintf("gateway-%d", 1+r.IntN(3)) }
+
+func (h *chaos) engine(r *rand.Rand) string {
+	return fmt.Sprintf("%s-%d", engineService, 1+r.IntN(3))
+}
+
+func (h *chaos) instance(r *rand.Rand) string {
+	return h.cluster.instances[r.IntN(len(h.cluster.instances))].Name
+}
+
+type breakable interface {
+	Cut() int
+	Silence() int
+	Refuse(bool)
+}
+
+func (h *chaos) link(r *rand.Rand) breakable {
+	name := h.instance(r)
+	if r.IntN(3) == 0 && strings.HasPrefix(name, engineService) {
+		name = "upstream-" + name
+	}
+	return h.cluster.relays[name]
+}
+
+func (h *chaos) refuseLink(r *rand.Rand) error {
+	l := h.link(r)
+	l.Refuse(true)
+	l.Cut()
+	time.Sleep(time.Duration(r.Int64N(int64(maxFreeze))))
+	l.Refuse(false)
+	return nil
+}
+
+// replace ends a process and starts it again.
+func (h *chaos) replace(name string, s syscall.Signal) error {
+	p := h.cluster.processes[name]
+	if err := p.signal(s); err != nil {
+		return err
+	}
+	if err := p.awaitExit(); err != nil {
+		return err
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	return p.awaitProbe()
+}
+
+func (h *chaos) freeze(name string, r *rand.Rand) error {
+	p := h.cluster.processes[name]
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(r.Int64N(int64(maxFreeze))))
+	return p.signal(syscall.SIGCONT)
+}
+
+func (h *chaos) turnCold(r *rand.Rand) error {
+	url := "http://" + h.cluster.address(h.engine(r), "upstream") + "/admin/fault"
+	return sendJSON(http.MethodPost, url, map[string]bool{"cold": true})
+}
+
+func (h *chaos) moveDataCentre(r *rand.Rand) error {
+	moved := &h.cluster.fleet.DataCentres[r.IntN(3)]
+	moved.State = fleet.StateOutOfService
+	if err := h.cluster.publish(); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(r.Int64N(int64(maxFreeze))))
+	moved.State = fleet.StateInService
+	return h.cluster.publish()
+}
+
+func (h *chaos) breakConfigurationService(r *rand.Rand) error {
+	url := "http://" + h.cluster.platform + "/admin/configuration"
+	mode := []string{"down", "stale", "older"}[r.IntN(3)]
+	if err := sendJSON(http.MethodPost, url, map[string]string{"mode": mode}); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(r.Int64N(int64(maxFreeze))))
+	return sendJSON(http.MethodPost, url, map[string]string{"mode": "up"})
+}
+
+func (h *chaos) checkAnswers() {
+	counts := make(map[string]int)
+	tokens := 0
+	for _, c := range h.asked {
+		judgement := c.judgeTokens()
+		tokens += c.count()
+		switch {
+		case c.clean:
+			require.Equal(h.t, "whole", judgement, "an answer with a clean end")
+			counts["whole"]++
+		case c.failure != nil:
+			require.Contains(h.t, []string{"partial, in order", "whole"}, judgement)
+			counts[c.failure.Outcome]++
+		default:
+			require.Contains(h.t, []string{"partial, in order", "whole"}, judgement)
+			require.Fail(h.t, "an answer ended neither cleanly nor with a problem", "%v", c.broken)
+		}
+	}
+	h.t.Logf("answers %v, tokens %d", counts, tokens)
+	require.Positive(h.t, counts["whole"])
+}
+
+func (h *chaos) checkOrders() {
+	counts := make(map[string]int)
+	for key, c := range h.orders {
+		n, err := h.cluster.executions(key)
+		require.NoError(h.t, err)
+		require.LessOrEqual(h.t, n, 1, "order %s ran twice", key)
+		switch {
+		case c.clean:
+			require.Equal(h.t, http.StatusCreated, c.status)
+			require.Equal(h.t, 1, n, "order %s was answered and did not run", key)
+			counts["done"]++
+		case c.failure != nil && c.failure.Outcome == problem.OutcomeNotRun:
+			require.Zero(h.t, n, "order %s was called not run and ran", key)
+			counts["not_run"]++
+		case c.failure != nil:
+			counts[c.failure.Outcome]++
+		default:
+			require.Fail(h.t, "an order ended without an answer", "%v", c.broken)
+		}
+	}
+	h.t.Logf("orders %v", counts)
+	require.Positive(h.t, counts["done"])
+}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -92,14 +92,7 @@
 }
 
 func newCall(ts *testscript.TestScript, gateways, key string) *call {
-	c := &call{header: http.Header{"Content-Type": {"application/json"}}}
-	if key != "" {
-		c.header.Set("Authorization", "Bearer "+key)
-	}
-	for _, g := range strings.Split(gateways, ",") {
-		c.addresses = append(c.addresses, clusterOf(ts).address(g, "caller"))
-	}
-	return c
+	return clusterOf(ts).newCall(gateways, key)
 }
 
 // order: order [flags] NAME
