Wait for a killed process before its port is used again

A benchmark of the scenario cold_restart ended with 'address already in use' at two restarted engines. The leader of a killed process's threads is a zombie before the other threads have released the port, and a zombie counted as ended. A child now runs until it was waited for, and a restart returns when the process serves, so that a failed start ends the benchmark at once.

--- a/internal/standin/benchmark/scenario.go
+++ b/internal/standin/benchmark/scenario.go
@@ -94,10 +94,10 @@
 	s.MaxRate = rate
 }
 
-func restartThird(_ context.Context, s *session) error {
+func restartThird(ctx context.Context, s *session) error {
 	for i, instance := range s.engines() {
 		if i%thirdOf == 0 {
-			if err := s.deployment.Restart(instance.Name); err != nil {
+			if err := s.deployment.Restart(ctx, instance.Name); err != nil {
 				return err
 			}
 		}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -268,8 +268,8 @@
 }
 
 // Restart ends the process at once and starts it again with an empty state and
-// cold.
-func (d *Deployment) Restart(name string) error {
+// cold. It returns when the process serves.
+func (d *Deployment) Restart(ctx context.Context, name string) error {
 	p := d.Process(name)
 	if p == nil {
 		return errors.Newf("no process %s", name)
@@ -284,7 +284,7 @@
 	if err := p.start(filepath.Join(d.options.Folder, logFolder)); err != nil {
 		return err
 	}
-	return d.save()
+	return errors.CombineErrors(d.awaitReady(ctx, p), d.save())
 }
 
 // Processes returns the number of processes.
--- a/internal/standin/deployment/process.go
+++ b/internal/standin/deployment/process.go
@@ -40,9 +40,16 @@
 	// it identifies the process even when the PID is used again.
 	StartTime string `json:"start_time"`
 
-	// ended receives the result of a process that this program started; nil for
-	// others.
-	ended chan error
+	// exit is the end of a process that this program started; nil for others.
+	exit *exit
+}
+
+// exit is the end of a child process.
+type exit struct {
+	// done is closed when the process has ended and released its ports.
+	done chan struct{}
+	// err is valid after done is closed.
+	err error
 }
 
 // start runs the process with its output in the log folder.
@@ -66,19 +73,23 @@
 	if err != nil {
 		return errors.Wrapf(err, "identify %s", p.Name)
 	}
-	ended := make(chan error, 1)
-	p.ended = ended
-	go func() { ended <- command.Wait() }()
+	e := &exit{done: make(chan struct{})}
+	p.exit = e
+	go func() {
+		e.err = command.Wait()
+		close(e.done)
+	}()
 	return nil
 }
 
 // exitError returns an error if the process was started by this program and has
-// ended otherwise than with code 0. It must be called once, after await.
+// ended otherwise than with code 0. It must be called after await.
 func (p *Process) exitError() error {
-	if p.ended == nil {
+	if p.exit == nil {
 		return nil
 	}
-	return errors.Wrapf(<-p.ended, "exit of %s", p.Name)
+	<-p.exit.done
+	return errors.Wrapf(p.exit.err, "exit of %s", p.Name)
 }
 
 // startTime returns field 22 of /proc/PID/stat. The fields are counted after
@@ -116,11 +127,20 @@
 	return time.Duration(user+system) * tick
 }
 
-// Running reports whether the process still runs.
+// Running reports whether the process still runs. A child runs until it has been
+// waited for, because the threads of a zombie can still hold its ports.
 func (p *Process) Running() bool {
 	if p.PID == 0 {
 		return false
 	}
+	if p.exit != nil {
+		select {
+		case <-p.exit.done:
+			return false
+		default:
+			return true
+		}
+	}
 	t, err := startTime(p.PID)
 	return err == nil && t == p.StartTime
 }
--- a/internal/standin/deployment/process_test.go
+++ b/internal/standin/deployment/process_test.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -31,9 +32,30 @@
 func TestProcessWithAnotherStartTimeIsLeftAlone(t *testing.T) {
 	p := startSleep(t)
 	other := *p
+	other.exit = nil
 	other.StartTime = "1"
 	require.False(t, other.Running())
 	require.NoError(t, other.Signal(syscall.SIGKILL))
 	time.Sleep(50 * time.Millisecond)
 	require.True(t, p.Running())
 }
+
+// Guards against a restart that fails because the killed process still holds
+// its port: the leader of its threads is a zombie before the others have ended.
+func TestZombieChildStillRuns(t *testing.T) {
+	command := exec.Command("sleep", "600")
+	require.NoError(t, command.Start())
+	pid := command.Process.Pid
+	started, err := startTime(pid)
+	require.NoError(t, err)
+	p := &Process{Name: "sleep", PID: pid, StartTime: started, exit: &exit{done: make(chan struct{})}}
+	require.NoError(t, command.Process.Kill())
+	require.Eventually(t, func() bool {
+		_, err := startTime(pid)
+		return err != nil
+	}, time.Minute, time.Millisecond)
+	require.True(t, p.Running())
+	require.Error(t, command.Wait())
+	close(p.exit.done)
+	require.False(t, p.Running())
+}
