--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -220,6 +220,9 @@
 		"two encodings":       {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
 		"negative length":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", http.StatusBadRequest},
 		"bad chunk size":      {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
+		"no host":             {"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"two hosts":           {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", http.StatusBadRequest},
+		"control character":   {"GET / HTTP/1.1\r\nHost: a\r\nX-A: b\x00c\r\n\r\n", http.StatusBadRequest},
 		"old version":         {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", http.StatusHTTPVersionNotSupported},
 		"large header":        {"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-A: "+strings.Repeat("a", 1000)+"\r\n", 80) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
 	} {
@@ -319,6 +322,32 @@
 	_ = idle.Close()
 }
 
+// Guards against a shutdown that never returns because the library forgets a stop
+// that comes before its poller runs.
+func TestShutdownRightAfterStart(t *testing.T) {
+	var group sync.WaitGroup
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for range 64 {
+		group.Go(func() {
+			for range 20 {
+				l, err := listener.New(listener.Options{Address: "127.0.0.1:0"}, http.NotFoundHandler())
+				if err == nil {
+					err = l.Shutdown(ctx)
+				}
+				if err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	l := start(t, listener.Options{}, func(http.ResponseWriter, *http.Request) {})
+	_, err := listener.New(listener.Options{Address: l.Address()}, http.NotFoundHandler())
+	require.Error(t, err, "the address is in use")
+}
+
 // Guards against an answer that looks whole after its handler failed.
 func TestPanicEndsTheAnswer(t *testing.T) {
 	l := start(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/gateway/harness_test.go
+++ b/internal/process/gateway/harness_test.go
@@ -59,8 +59,10 @@
 	offers  []func(s *fakeStream, a *attempt.Attempt)
 	resumes []func(s *fakeStream, generation string, after uint64)
 	// status is the state that inquiries return, in turn.
-	statuses  []attempt.Status
-	attempts  []attempt.Attempt
+	statuses []attempt.Status
+	attempts []attempt.Attempt
+	// traces are the trace headers of the offers.
+	traces    []string
 	revoked   []string
 	cancelled []string
 	resumed   int
@@ -174,6 +176,7 @@
 	}
 	f.mu.Lock()
 	f.attempts = append(f.attempts, a)
+	f.traces = append(f.traces, r.Header.Get("Traceparent"))
 	script, ok := take(&f.offers)
 	f.mu.Unlock()
 	if !ok {
@@ -242,6 +245,7 @@
 	}, []service.Service{
 		{Name: "pool", Kind: service.KindEngine, Models: []service.Model{{Name: "m", ContextTokens: 1000}}, Queue: service.Queue{TimeoutMillis: 2000}},
 		{Name: "hire", Kind: service.KindPlain, PathPrefixes: []string{"/hire/"}, Slots: slots, Orders: service.Orders{Methods: []string{"POST"}}, Queue: service.Queue{TimeoutMillis: 2000}},
+		{Name: "store", Kind: service.KindPlain, PathPrefixes: []string{"/store/"}, Orders: service.Orders{Methods: []string{"POST"}, UpstreamDeduplicates: true}},
 	}, []account.Account{
 		{Name: "bakery", KeySHA256: account.HashKey("key-bakery")},
 		{Name: "couple", KeySHA256: account.HashKey("key-couple")},
