--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,11 +41,14 @@
 	running []*sequence
 	arrived uint64
 	// warmUp is the number of tokens until the engine is warm, 0 if it is warm.
-	warmUp      int
-	preemptions uint64
-	executed    uint64
-	frozen      chan struct{}
-	slow        float64
+	warmUp int
+	// mostWhileCold is the largest number of requests held when one arrived at
+	// the cold engine.
+	mostWhileCold int
+	preemptions   uint64
+	executed      uint64
+	frozen        chan struct{}
+	slow          float64
 	// silenced is raised by each silent-link fault; connections opened before
 	// carry a lower number.
 	silenced uint64
@@ -146,6 +149,9 @@
 	s.order = e.arrived
 	e.sequences[r.ID] = s
 	e.enqueue(s)
+	if e.warmUp > 0 {
+		e.mostWhileCold = max(e.mostWhileCold, len(e.running)+len(e.waiting))
+	}
 	e.signal()
 	return s, nil
 }
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -182,6 +182,9 @@
 	Executed    uint64  `json:"executed"`
 	Cold        bool    `json:"cold"`
 	WarmUp      int     `json:"warm_up"`
+	// MostWhileCold is the largest number of requests that the engine held when
+	// it received one while cold.
+	MostWhileCold int `json:"most_while_cold"`
 }
 
 func (e *Engine) handleState(w http.ResponseWriter, _ *http.Request) {
@@ -192,7 +195,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return state{
-		len(e.running), len(e.waiting), e.memory.used(), e.preemptions, e.executed, e.warmUp > 0, e.warmUp,
+		len(e.running), len(e.waiting), e.memory.used(), e.preemptions, e.executed, e.warmUp > 0, e.warmUp, e.mostWhileCold,
 	}
 }
 
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -14,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/pkg/problem"
 )
 
 const (
@@ -255,6 +256,59 @@
 	}))
 }
 
+// checkCold: cold ENGINE N checks that the engine never held more than N requests
+// when one arrived while it was cold.
+func checkCold(ts *testscript.TestScript, _ bool, args []string) {
+	most, err := strconv.Atoi(argument(ts, args, 1))
+	ts.Check(err)
+	state, err := clusterOf(ts).engineState(args[0])
+	ts.Check(err)
+	held, err := strconv.Atoi(string(state["most_while_cold"]))
+	ts.Check(err)
+	if held == 0 || held > most {
+		ts.Fatalf("%s held %d requests while cold, want 1 to %d", args[0], held, most)
+	}
+}
+
+// askMany: askmany N PREFIX starts calls PREFIX1 to PREFIXN through all gateways.
+func askMany(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(argument(ts, args, 0))
+	ts.Check(err)
+	for i := range n {
+		gateway := fmt.Sprintf("gateway-%d", i%clusterOf(ts).shape.gateways+1)
+		ask(ts, false, []string{"-gateways", gateway, argument(ts, args, 1) + strconv.Itoa(i+1)})
+	}
+}
+
+// endMany: endmany N PREFIX waits for the calls' ends, which must be whole or not
+// run, or with -incomplete also incomplete.
+func endMany(ts *testscript.TestScript, _ bool, args []string) {
+	flags := flag.NewFlagSet("endmany", flag.ContinueOnError)
+	incomplete := flags.Bool("incomplete", false, "")
+	args = parse(ts, flags, args)
+	n, err := strconv.Atoi(argument(ts, args, 0))
+	ts.Check(err)
+	whole := 0
+	for i := range n {
+		c := callOf(ts, argument(ts, args, 1)+strconv.Itoa(i+1))
+		<-c.ended
+		switch {
+		case c.clean && c.judgeTokens() == "whole":
+			whole++
+		case c.failure == nil:
+			ts.Fatalf("call %d ended without a problem: %s", i+1, c.report())
+		case c.failure.Outcome == problem.OutcomeNotRun:
+		case c.failure.Outcome == problem.OutcomeIncomplete && *incomplete:
+		default:
+			ts.Fatalf("call %d: %s", i+1, c.report())
+		}
+	}
+	ts.Logf("%d of %d whole", whole, n)
+	if whole == 0 {
+		ts.Fatalf("no answer is whole")
+	}
+}
+
 // setDataCentre: datacentre NAME in_service|out_of_service publishes the change.
 func setDataCentre(ts *testscript.TestScript, _ bool, args []string) {
 	c := clusterOf(ts)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -44,6 +44,9 @@
 			"inforce":    awaitInForce,
 			"executions": checkExecutions,
 			"refuses":    awaitRefusal,
+			"cold":       checkCold,
+			"askmany":    askMany,
+			"endmany":    endMany,
 			"request":    plainRequest,
 		},
 		Setup: func(e *testscript.Env) error {
