--- a/internal/process/sidecar/run_test.go
+++ b/internal/process/sidecar/run_test.go
@@ -230,8 +230,21 @@
 	go func() { stopped <- s.Run(ctx) }()
 	cancel()
 	require.NoError(t, <-stopped)
-	set.PeerAddress = "256.0.0.1:0"
-	require.Error(t, s.Run(context.Background()))
+}
+
+// Guards against a process that hangs instead of reporting an address that it
+// cannot listen on.
+func TestUnusableAddressIsAnError(t *testing.T) {
+	h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+	h.sidecar.settings.PeerAddress = "256.0.0.1:0"
+	result := make(chan error, 1)
+	go func() { result <- h.sidecar.Run(context.Background()) }()
+	select {
+	case err := <-result:
+		require.Error(t, err)
+	case <-time.After(patienceLimit):
+		require.Fail(t, "the process hangs")
+	}
 }
 
 // Guards against a ledger that no peer accepts because of the stored answers.
