Measure the added time per token and the memory per stream

Cause: the cost of the path must be known against a direct connection to the same engine in the same run. Change: TestStreamOverhead, run by make overhead STREAMS=n.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = build
 
-.PHONY: build test lint format run up down bench microbench soak capacity fuzz
+.PHONY: build test lint format run up down bench microbench soak capacity overhead
 
 build: ## Builds the programs into build/.
 	mkdir -p $(BIN)
@@ -39,3 +39,6 @@
 
 soak: build ## Runs the chaos test for ten minutes; SEED selects the mix of faults.
 	CHAOS_SEED=$(or $(SEED),1) CHAOS_SECONDS=600 $(GO) test -count=1 -v -timeout 30m -run '^TestChaos$$' ./scenarios
+
+overhead: build ## Measures what the path adds to each token, for STREAMS streams.
+	MEASURE_STREAMS=$(or $(STREAMS),2000) $(GO) test -count=1 -v -timeout 10m -run '^TestStreamOverhead$$' ./scenarios
--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -43,6 +43,8 @@
 	cold bool
 	// plainDelay is how long the plain service runs each request.
 	plainDelay string
+	// concurrency is the engine service's bound at each sidecar, 0 for the default.
+	concurrency int
 	// deduplicates makes the plain service's upstream deduplicate.
 	deduplicates bool
 }
@@ -180,12 +182,17 @@
 	}
 	c.relays["upstream-"+name] = toUpstream
 	c.relays[name] = toSidecar
+	c.register(name, serviceName, dataCentre, toUpstream.Address(), toSidecar.Address())
+	return nil
+}
+
+// register adds an instance to the list before the cluster starts.
+func (c *cluster) register(name, serviceName, dataCentre, upstream, sidecar string) {
 	c.instances = append(c.instances, instance.Instance{
 		Name: name, Service: serviceName, Slot: "slot-" + name, DataCentre: dataCentre, Region: region,
-		UpstreamAddress: toUpstream.Address(), SidecarAddress: toSidecar.Address(),
+		UpstreamAddress: upstream, SidecarAddress: sidecar,
 		Incarnation: 1, State: instance.StateLive,
 	})
-	return nil
 }
 
 func (c *cluster) startPlatform() error {
@@ -245,7 +252,8 @@
 	}
 	engine := service.Service{
 		Name: engineService, Kind: service.KindEngine, PathPrefixes: []string{"/v1/"},
-		Models: []service.Model{{Name: model, ContextTokens: 100_000}},
+		Models:           []service.Model{{Name: model, ContextTokens: 100_000}},
+		ConcurrencyLimit: c.shape.concurrency,
 	}
 	plain := service.Service{
 		Name: plainService, Kind: service.KindPlain, PathPrefixes: []string{"/hire/"},
--- /dev/null
+++ b/scenarios/overhead_test.go
@@ -0,0 +1,172 @@
+package scenarios_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/version/fleet"
+)
+
+const (
+	overheadEngines  = 4
+	overheadTokens   = 100
+	overheadInterval = 50 * time.Millisecond
+	// maxDelay bounds the recorded delay of a token.
+	maxDelay = time.Minute
+)
+
+// Measures what the path through one gateway and its sidecars adds to each token
+// and the gateway's memory for each stream, against direct connections to the
+// same engines in the same run. MEASURE_STREAMS sets the number of streams; it
+// is a measurement and asserts only that nothing is lost.
+func TestStreamOverhead(t *testing.T) {
+	streams, err := strconv.Atoi(os.Getenv("MEASURE_STREAMS"))
+	if err != nil {
+		t.Skip("MEASURE_STREAMS is not set")
+	}
+	c := new(cluster)
+	c.initialise(t.TempDir(), shape{gateways: 1, concurrency: streams})
+	c.fleet.Policy = fleet.Policy{
+		Routing: "round_robin", LengthQuantile: 0.8, TargetStepMillis: 10_000,
+	}
+	var engines []string
+	for n := range overheadEngines {
+		server := httptest.NewServer(timedEngine())
+		t.Cleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		engines = append(engines, address)
+		name := fmt.Sprintf("%s-%d", engineService, n+1)
+		c.register(name, engineService, dataCentre(n), address, c.address(name, "peer"))
+	}
+	defer c.close()
+	defer saveLogs(t, c)
+	require.NoError(t, c.start())
+	gateway := c.processes["gateway-1"]
+	idle := residentBytes(t, gateway)
+	direct, _ := measureStreams(t, engines, streams, func() {})
+	var busy int64
+	through, lost := measureStreams(t, []string{c.address("gateway-1", "caller")}, streams, func() { busy = residentBytes(t, gateway) })
+	require.Zero(t, lost)
+	t.Logf("direct:  p50 %s p99 %s", quantile(direct, 50), quantile(direct, 99))
+	t.Logf("gateway: p50 %s p99 %s", quantile(through, 50), quantile(through, 99))
+	t.Logf("gateway memory: %d B idle, %d B for each stream", idle, (busy-idle)/int64(streams))
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q))
+}
+
+// timedEngine answers each completion with tokens that hold the time at which
+// they were written.
+func timedEngine() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/models", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"object":"list","data":[{"id":"`+model+`","object":"model"}]}`)
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "vllm:num_requests_running 0\n")
+	})
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		flusher := http.NewResponseController(w)
+		ticker := time.NewTicker(overheadInterval)
+		defer ticker.Stop()
+		for n := 1; n <= overheadTokens; n++ {
+			<-ticker.C
+			finish := "null"
+			if n == overheadTokens {
+				finish = `"length"`
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"id\":\"x\",\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":\"%d\",\"finish_reason\":%s}]}\n\n",
+				n, time.Now().UnixNano(), finish)
+			_ = flusher.Flush()
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	return mux
+}
+
+// measureStreams runs the streams at once and returns the delays of their
+// tokens and the number of tokens that did not come. It calls middle about
+// halfway.
+func measureStreams(t *testing.T, addresses []string, streams int, middle func()) (*hdrhistogram.Histogram, int) {
+	total := hdrhistogram.New(1, int64(maxDelay), 3)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	received := 0
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 0}}
+	for n := range streams {
+		group.Go(func() {
+			delays, count := readTimedStream(client, addresses[n%len(addresses)])
+			mu.Lock()
+			defer mu.Unlock()
+			total.Merge(delays)
+			received += count
+		})
+	}
+	time.Sleep(overheadTokens * overheadInterval / 2)
+	middle()
+	group.Wait()
+	t.Logf("%d tokens of %d streams", received, streams)
+	return total, streams*overheadTokens - received
+}
+
+func readTimedStream(client *http.Client, address string) (*hdrhistogram.Histogram, int) {
+	delays := hdrhistogram.New(1, int64(maxDelay), 3)
+	body, _ := json.Marshal(map[string]any{"model": model, "prompt": "p", "max_tokens": overheadTokens, "stream": true})
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return delays, 0
+	}
+	request.Header.Set("Authorization", "Bearer key-bakery")
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return delays, 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	count := 0
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		_, rest, found := strings.Cut(scanner.Text(), `"text":"`)
+		if !found {
+			continue
+		}
+		text, _, _ := strings.Cut(rest, `"`)
+		sent, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			continue
+		}
+		_ = delays.RecordValue(max(1, time.Now().UnixNano()-sent))
+		count++
+	}
+	return delays, count
+}
+
+// residentBytes returns the resident memory of a process.
+func residentBytes(t *testing.T, p *process) int64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	require.NoError(t, err)
+	for _, line := range strings.Split(string(content), "\n") {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmRSS:" {
+			n, err := strconv.ParseInt(fields[1], 10, 64)
+			require.NoError(t, err)
+			return n << 10
+		}
+	}
+	return 0
+}
