--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -75,6 +75,7 @@
 	resume := flags.Bool("resume", false, "")
 	whole := flags.Bool("whole", false, "")
 	pause := flags.Duration("pause", 0, "")
+	after := flags.String("after", "", "call whose last event id is sent")
 	name := argument(ts, parse(ts, flags, args), 0)
 	prompt := "quote for " + name
 	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": *tokens, "stream": !*whole})
@@ -88,6 +89,9 @@
 	if *requestID != "" {
 		c.header.Set("X-Request-Id", *requestID)
 	}
+	if *after != "" {
+		c.header.Set("Last-Event-ID", callOf(ts, *after).lastEventID())
+	}
 	clusterOf(ts).calls[name] = c
 	c.start()
 }
@@ -437,6 +441,21 @@
 	return string(state["executed"])
 }
 
+// storeExecuted: executed ENGINE ENV stores the number of requests that the engine
+// was given.
+func storeExecuted(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(argument(ts, args, 1), clusterOf(ts).executedBy(ts, args[0]))
+}
+
+// checkUnchanged: unchanged ENGINE N checks that the engine was given no more than
+// N requests.
+func checkUnchanged(ts *testscript.TestScript, _ bool, args []string) {
+	now := clusterOf(ts).executedBy(ts, argument(ts, args, 0))
+	if now != argument(ts, args, 1) {
+		ts.Fatalf("%s was given %s requests, had %s", args[0], now, args[1])
+	}
+}
+
 // plainRequest: request METHOD GATEWAY[/LISTENER] PATH [HEADER:VALUE...] prints the status.
 func plainRequest(ts *testscript.TestScript, _ bool, args []string) {
 	name, listener, found := strings.Cut(argument(ts, args, 1), "/")
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -45,6 +45,8 @@
 			"executions": checkExecutions,
 			"refuses":    awaitRefusal,
 			"cold":       checkCold,
+			"executed":   storeExecuted,
+			"unchanged":  checkUnchanged,
 			"askmany":    askMany,
 			"endmany":    endMany,
 			"request":    plainRequest,
