Tell the start of the streams from their later part in the overhead measurement

Cause: at 2,000 streams the 99th percentile through the gateway was 95 ms, while all streams are opened at once.

--- a/scenarios/overhead_test.go
+++ b/scenarios/overhead_test.go
@@ -25,6 +25,9 @@
 	overheadEngines  = 4
 	overheadTokens   = 100
 	overheadInterval = 50 * time.Millisecond
+	// startTokens is the number of tokens of each stream that are counted as part
+	// of its start, when all streams are opened at once.
+	startTokens = 20
 	// maxDelay bounds the recorded delay of a token.
 	maxDelay = time.Minute
 )
@@ -61,13 +64,42 @@
 	var busy int64
 	through, lost := measureStreams(t, []string{c.address("gateway-1", "caller")}, streams, func() { busy = residentBytes(t, gateway) })
 	require.Zero(t, lost)
-	t.Logf("direct:  p50 %s p99 %s", quantile(direct, 50), quantile(direct, 99))
-	t.Logf("gateway: p50 %s p99 %s", quantile(through, 50), quantile(through, 99))
+	t.Logf("direct:  %s", direct)
+	t.Logf("gateway: %s", through)
 	t.Logf("gateway memory: %d B idle, %d B for each stream", idle, (busy-idle)/int64(streams))
 }
 
-func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
-	return time.Duration(h.ValueAtQuantile(q))
+// delays holds the times from the writing of a token to its reading.
+type delays struct {
+	// start holds the first tokens of each stream, and steady the others.
+	start, steady *hdrhistogram.Histogram
+	count         int
+}
+
+func newDelays() *delays {
+	return &delays{start: hdrhistogram.New(1, int64(maxDelay), 3), steady: hdrhistogram.New(1, int64(maxDelay), 3)}
+}
+
+func (d *delays) record(delay int64) {
+	d.count++
+	h := d.steady
+	if d.count <= startTokens {
+		h = d.start
+	}
+	_ = h.RecordValue(max(1, delay))
+}
+
+func (d *delays) merge(o *delays) {
+	d.start.Merge(o.start)
+	d.steady.Merge(o.steady)
+	d.count += o.count
+}
+
+// String returns the median and the 99th percentile at the start and later.
+func (d *delays) String() string {
+	return fmt.Sprintf("start p50 %s p99 %s, later p50 %s p99 %s",
+		time.Duration(d.start.ValueAtQuantile(50)), time.Duration(d.start.ValueAtQuantile(99)),
+		time.Duration(d.steady.ValueAtQuantile(50)), time.Duration(d.steady.ValueAtQuantile(99)))
 }
 
 // timedEngine answers each completion with tokens that hold the time at which
@@ -103,43 +135,40 @@
 // measureStreams runs the streams at once and returns the delays of their
 // tokens and the number of tokens that did not come. It calls middle about
 // halfway.
-func measureStreams(t *testing.T, addresses []string, streams int, middle func()) (*hdrhistogram.Histogram, int) {
-	total := hdrhistogram.New(1, int64(maxDelay), 3)
+func measureStreams(t *testing.T, addresses []string, streams int, middle func()) (total *delays, lost int) {
+	total = newDelays()
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	received := 0
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 0}}
 	for n := range streams {
 		group.Go(func() {
-			delays, count := readTimedStream(client, addresses[n%len(addresses)])
+			d := readTimedStream(client, addresses[n%len(addresses)])
 			mu.Lock()
 			defer mu.Unlock()
-			total.Merge(delays)
-			received += count
+			total.merge(d)
 		})
 	}
 	time.Sleep(overheadTokens * overheadInterval / 2)
 	middle()
 	group.Wait()
-	t.Logf("%d tokens of %d streams", received, streams)
-	return total, streams*overheadTokens - received
+	t.Logf("%d tokens of %d streams", total.count, streams)
+	return total, streams*overheadTokens - total.count
 }
 
-func readTimedStream(client *http.Client, address string) (*hdrhistogram.Histogram, int) {
-	delays := hdrhistogram.New(1, int64(maxDelay), 3)
+func readTimedStream(client *http.Client, address string) *delays {
+	d := newDelays()
 	body, _ := json.Marshal(map[string]any{"model": model, "prompt": "p", "max_tokens": overheadTokens, "stream": true})
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
 	if err != nil {
-		return delays, 0
+		return d
 	}
 	request.Header.Set("Authorization", "Bearer key-bakery")
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.Do(request)
 	if err != nil {
-		return delays, 0
+		return d
 	}
 	defer func() { _ = response.Body.Close() }()
-	count := 0
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
 		_, rest, found := strings.Cut(scanner.Text(), `"text":"`)
@@ -151,10 +180,9 @@
 		if err != nil {
 			continue
 		}
-		_ = delays.RecordValue(max(1, time.Now().UnixNano()-sent))
-		count++
+		d.record(time.Now().UnixNano() - sent)
 	}
-	return delays, count
+	return d
 }
 
 // residentBytes returns the resident memory of a process.
