--- a/internal/process/fairqueue/fairqueue.go
+++ b/internal/process/fairqueue/fairqueue.go
@@ -92,7 +92,7 @@
 	return true
 }
 
-// Next returns the work whose turn it is without removing it.
+// Next returns the next work in order without removing it.
 func (q *Queue) Next() (work.Work, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -105,7 +105,7 @@
 }
 
 // Select hands the work in fair order to admit, and removes and returns the
-// first that it accepts. It looks past the work whose turn it is at most 16
+// first that it accepts. It looks past the first in order at most 16
 // times, so that large work is not starved by small work. Admit must not use
 // the queue.
 func (q *Queue) Select(admit func(work.Work) bool) (work.Work, bool) {
--- a/internal/process/membership/datacentres.go
+++ b/internal/process/membership/datacentres.go
@@ -10,7 +10,7 @@
 // reach their full weight. They start cold and collapse under full load.
 const dataCentreRamp = 30 * time.Second
 
-// dataCentres holds the operators' word and when it changed.
+// dataCentres holds the configured states and when they changed.
 type dataCentres struct {
 	fleet fleet.Fleet
 	// known is true after the first configuration, whose data centres need no
@@ -22,7 +22,7 @@
 
 func newDataCentres() *dataCentres { return &dataCentres{returned: make(map[string]time.Time)} }
 
-// set takes the operators' word and returns the data centres that returned to
+// set takes the configured states and returns the data centres that returned to
 // service.
 func (d *dataCentres) set(f fleet.Fleet, now time.Time) []string {
 	var back []string
--- a/internal/process/membership/entry.go
+++ b/internal/process/membership/entry.go
@@ -13,7 +13,7 @@
 	// instance list that shows it live. The list lags; after a withdrawn
 	// announcement the instance is used again.
 	leavingHold = 60 * time.Second
-	// reportHold is how long a sidecar's report that it leaves is believed without
+	// reportHold is how long a sidecar's report that it leaves holds without
 	// repetition. A sidecar that has not yet learned of its data centre's return
 	// still reports that it leaves, and nobody tells a gateway when that ends; an
 	// attempt that comes too early is refused and goes elsewhere.
@@ -43,7 +43,7 @@
 	processes []string
 }
 
-// entry is the belief about one incarnation of an instance.
+// entry is what is known about one incarnation of an instance.
 type entry struct {
 	instance instance.Instance
 	// departed is when the list dropped the instance, zero while it is listed.
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -11,8 +11,8 @@
 	"github.com/flamingohold/flamingohold/internal/version/fleet"
 )
 
-// View is one gateway's belief about the instances. A sidecar itself refuses
-// what it must not run, so that a wrong belief costs a retry and no guarantee.
+// View is one gateway's view of the instances. A sidecar itself refuses
+// what it must not run, so that a wrong view costs a retry and no guarantee.
 // View is safe for concurrent use.
 type View struct {
 	mu      sync.RWMutex
@@ -99,7 +99,7 @@
 	}
 }
 
-// SetFleet takes the operators' word on the data centres.
+// SetFleet takes the configured states of the data centres.
 func (v *View) SetFleet(f fleet.Fleet, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/process/routing/doc.go
+++ b/internal/process/routing/doc.go
@@ -1,4 +1,4 @@
-// Package routing chooses the instance for an attempt by what a gateway believes about
+// Package routing chooses the instance for an attempt by what a gateway knows about
 // the instances' load.
 //
 // A gateway uses a subset of each service's instances: a number of neighbours on
--- a/internal/process/sidecar/dispatch.go
+++ b/internal/process/sidecar/dispatch.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// startNext starts the work whose turn it is, if admission allows, and reports
+// startNext starts the next work in order, if admission allows, and reports
 // whether there may be more.
 func (s *Sidecar) startNext(st *stage, now time.Time) bool {
 	w, ok := st.queue.Select(func(w work.Work) bool { return st.controller.Admit(w, now) })
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -13,7 +13,7 @@
 	Policy      Policy       `json:"policy"`
 }
 
-// DataCentre is the operators' word on one data centre.
+// DataCentre is the operators' setting for one data centre.
 type DataCentre struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
