Take published bounds of a service into use without a restart

Change: the controller, the queue, the ramp and the curve take new values; waiting and running work stays. Ruled out: a new queue and controller, which would forget waiting work and start a warm upstream cold. Result: TestPublishedConcurrencyIsTakenIntoUse, TestPublishedBoundsAreTakenIntoUse and TestConfigurationIsTakenIntoUse pass; the former behaviour had no code path for them.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -69,11 +69,15 @@
 	return c
 }
 
-// SetPolicy replaces the policy. The bound on the step time stays.
-func (c *Controller) SetPolicy(policy fleet.Policy) {
+// SetPolicy replaces the policy and the upper bound on concurrency. Running work
+// above the new bound finishes.
+func (c *Controller) SetPolicy(policy fleet.Policy, concurrency int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.policy = withDefaults(policy)
+	c.full = max(1, concurrency)
+	c.ramp.SetFull(c.full)
+	c.curve.SetTarget(c.policy.TargetStepMillis)
 }
 
 // Admit takes a place for the work and reports whether there was one. Work that
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -375,3 +375,14 @@
 		c.Finish("1", true, now)
 	}
 }
+
+// Guards against a published bound on concurrency that comes into force only at
+// a restart.
+func TestPublishedBoundsAreTakenIntoUse(t *testing.T) {
+	c := New(only(func(*fleet.Policy) {}), 8, 0, start)
+	require.Equal(t, 8, c.Limit(start))
+	c.SetPolicy(only(func(*fleet.Policy) {}), 2)
+	require.Equal(t, 2, c.Limit(start))
+	c.SetPolicy(only(func(p *fleet.Policy) { p.SlowStart = true }), 160)
+	require.Equal(t, 4, c.Limit(start), "a raised bound starts from the limit of a cold upstream")
+}
--- a/internal/process/fairqueue/fairqueue.go
+++ b/internal/process/fairqueue/fairqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -72,6 +73,28 @@
 	}
 }
 
+// Configure replaces the capacity and the order. Waiting work above the new
+// capacity stays.
+func (q *Queue) Configure(capacity int, fair bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.capacity = capacity
+	if fair == q.fair {
+		return
+	}
+	q.fair = fair
+	q.virtual = 0
+	q.lines = make(map[string]*line)
+	for _, e := range q.arrivals() {
+		q.insert(e)
+	}
+}
+
+// arrivals returns the entries in order of arrival.
+func (q *Queue) arrivals() []*entry {
+	return slices.SortedFunc(maps.Values(q.entries), func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+}
+
 // Push adds work and reports whether there was room. Work with the identifier
 // of waiting work is refused.
 func (q *Queue) Push(w work.Work, _ time.Time) bool {
@@ -83,13 +106,17 @@
 	q.sequence++
 	e := &entry{work: w, sequence: q.sequence}
 	q.entries[w.ID] = e
-	l := q.line(w)
+	q.insert(e)
+	return true
+}
+
+func (q *Queue) insert(e *entry) {
+	l := q.line(e.work)
 	if !q.fair {
 		l.waiting = append(l.waiting, e)
-		return true
+		return
 	}
 	l.insert(e, q.virtual)
-	return true
 }
 
 // Next returns the next work in order without removing it.
--- a/internal/process/fairqueue/fairqueue_test.go
+++ b/internal/process/fairqueue/fairqueue_test.go
@@ -245,3 +245,22 @@
 		})
 	}
 }
+
+// Guards against a published capacity or order that comes into force only at a
+// restart, and against work that is lost by the change.
+func TestConfigurationIsTakenIntoUse(t *testing.T) {
+	q := New(3, false)
+	for n := range 3 {
+		require.True(t, q.Push(item("large", n, 100), start))
+	}
+	require.False(t, q.Push(item("small", 0, 100), start))
+	q.Configure(8, true)
+	require.True(t, q.Push(item("small", 0, 100), start))
+	require.Equal(t, "large-0", take(t, q).ID)
+	require.Equal(t, "small-0", take(t, q).ID)
+	q.Configure(1, false)
+	require.False(t, q.Push(item("small", 1, 100), start))
+	require.Equal(t, "large-1", take(t, q).ID)
+	require.Equal(t, "large-2", take(t, q).ID)
+	require.Zero(t, q.Len())
+}
--- a/internal/process/ramp/ramp.go
+++ b/internal/process/ramp/ramp.go
@@ -41,6 +41,13 @@
 	return r
 }
 
+// SetFull replaces the limit of a warm upstream. What the upstream was shown to
+// bear stays.
+func (r *Ramp) SetFull(full int) {
+	r.full = max(1, full)
+	r.limit = max(float64(r.Cold()), min(float64(r.full), r.limit))
+}
+
 // Cold returns the limit of a cold upstream.
 func (r *Ramp) Cold() int {
 	return max(1, min(coldMaximum, int(float64(r.full)*coldFraction)))
--- a/internal/process/sidecar/orders_test.go
+++ b/internal/process/sidecar/orders_test.go
@@ -259,3 +259,15 @@
 	requireOutcome(t, h.offer(context.Background(), early).last(), problem.OutcomeNotRun)
 	require.Zero(t, upstream.calls.Load())
 }
+
+// Guards against a published bound of the service that comes into force only
+// when the sidecar is restarted.
+func TestPublishedConcurrencyIsTakenIntoUse(t *testing.T) {
+	h := newHarness(t, plainService(16, "a"), newFakeService(t, false).URL)
+	h.service.ConcurrencyLimit = 1
+	h.publish()
+	require.Equal(t, 1, h.report().Limit)
+	h.service.ConcurrencyLimit = 160
+	h.publish()
+	require.Equal(t, 4, h.report().Limit)
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -156,9 +156,10 @@
 	now := s.clock()
 	if svc := c.Service(s.settings.Service); svc != nil {
 		s.quarantine.SetSlots(svc.Slots, now)
-	}
-	if st := s.stage.Load(); st != nil {
-		st.controller.SetPolicy(c.Fleet.Policy)
+		if st := s.stage.Load(); st != nil {
+			st.controller.SetPolicy(c.Fleet.Policy, svc.Concurrency())
+			st.queue.Configure(svc.QueueCapacity(), c.Fleet.Policy.FairQueue)
+		}
 	}
 	s.signal()
 }
--- a/internal/process/stepcurve/stepcurve.go
+++ b/internal/process/stepcurve/stepcurve.go
@@ -237,6 +237,9 @@
 // Last returns the last step time in milliseconds, 0 before the first.
 func (c *Curve) Last() float64 { return c.lastMillis }
 
+// SetTarget replaces the bound on the step time in milliseconds.
+func (c *Curve) SetTarget(millis float64) { c.target = millis }
+
 // WithinTarget reports whether the last step time was within the bound. It is
 // true before the first.
 func (c *Curve) WithinTarget() bool { return c.lastMillis <= c.target }
