Strengthen the scenarios that no mutation made fail

Cause: docs/proofs.md: configuration_in_force, answer_slow_caller, answer_cancelled and stop_sidecar passed without the mechanisms that they guard.

--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -43,6 +43,8 @@
 	cold bool
 	// plainDelay is how long the plain service runs each request.
 	plainDelay string
+	// memoryTokens is the engines' block memory, 0 for the default.
+	memoryTokens int
 	// concurrency is the engine service's bound at each sidecar, 0 for the default.
 	concurrency int
 	// deduplicates makes the plain service's upstream deduplicate.
@@ -65,6 +67,7 @@
 	relays    map[string]*relay.Relay
 	instances []instance.Instance
 	calls     map[string]*call
+	versions  *versionWatch
 }
 
 // initialise sets up an empty cluster of the given shape.
@@ -126,6 +129,7 @@
 			return err
 		}
 	}
+	c.versions = watchVersions(c)
 	return nil
 }
 
@@ -143,6 +147,9 @@
 		if !c.shape.cold {
 			arguments = append(arguments, "--warm")
 		}
+		if c.shape.memoryTokens > 0 {
+			arguments = append(arguments, "--memory-tokens", strconv.Itoa(c.shape.memoryTokens))
+		}
 		if err := c.addUpstream(name, engineService, dataCentre(n), "/v1/models", arguments); err != nil {
 			return err
 		}
@@ -361,6 +368,9 @@
 
 // close ends all processes of the cluster by their ids.
 func (c *cluster) close() {
+	if c.versions != nil {
+		c.versions.end()
+	}
 	for _, p := range c.processes {
 		if p.running() {
 			_ = p.signal(syscall.SIGKILL)
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -73,6 +74,9 @@
 	return err
 }
 
+// isMember reports whether the process is a gateway or a sidecar.
+func (p *process) isMember() bool { return strings.Contains(p.probe, "/readyz") }
+
 func (p *process) signal(s syscall.Signal) error {
 	return errors.Wrapf(p.command.Process.Signal(s), "signal %s", p.name)
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -32,6 +32,7 @@
 			"thaw":       thaw,
 			"shutdown":   stop,
 			"stopped":    awaitStopped,
+			"notready":   awaitNotReady,
 			"restart":    restart,
 			"link":       changeLink,
 			"engine":     injectEngineFault,
