Make the gateway wait for the slow caller of the scenario

Cause: answer_slow_caller passed although an answer was given up once 1 MiB waited: about half of its 10 MB was generated in the pause and fitted into the sockets' buffers.

--- a/scenarios/call_test.go
+++ b/scenarios/call_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,9 +21,10 @@
 )
 
 const (
-	maxEventBytes = 1 << 20
-	callTimeout   = 120 * time.Second
-	resumeDelay   = 100 * time.Millisecond
+	maxEventBytes    = 1 << 20
+	smallBufferBytes = 32 << 10
+	callTimeout      = 120 * time.Second
+	resumeDelay      = 100 * time.Millisecond
 )
 
 // call is one request of a caller and what came back.
@@ -115,7 +117,7 @@
 	if last := c.lastEventID(); last != "" {
 		request.Header.Set("Last-Event-ID", last)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: c.dial}}
 	response, err := client.Do(request)
 	if err != nil {
 		return err
@@ -130,6 +132,16 @@
 	return c.readWhole(response)
 }
 
+// dial gives a caller that pauses a small receive buffer, so that the gateway has
+// to wait for it.
+func (c *call) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
+	if socket, ok := conn.(*net.TCPConn); ok && c.pause > 0 {
+		err = socket.SetReadBuffer(smallBufferBytes)
+	}
+	return conn, err
+}
+
 func (c *call) lastEventID() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -51,11 +52,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if before := w.highest[name]; version < before {
-		w.reversions = append(w.reversions, fmt.Sprintf("%s went from version %d to %d", name, before, version))
-		return
+	before := w.highest[name]
+	w.highest[name] = max(before, version)
+	reversion := fmt.Sprintf("%s went from version %d to %d", name, before, version)
+	if version < before && !slices.Contains(w.reversions, reversion) {
+		w.reversions = append(w.reversions, reversion)
 	}
-	w.highest[name] = version
 }
 
 // seen returns the reversions so far.
