Add a scenario of an answer longer than every timeout

Cause: the HTTP server library cuts long answers unless its read deadline is cleared; only a package test showed this.

--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -43,6 +43,8 @@
 	cold bool
 	// plainDelay is how long the plain service runs each request.
 	plainDelay string
+	// idleTimeoutMillis is the idle timeout of all listeners, 0 for the default.
+	idleTimeoutMillis int
 	// memoryTokens is the engines' block memory, 0 for the default.
 	memoryTokens int
 	// concurrency is the engine service's bound at each sidecar, 0 for the default.
@@ -335,6 +337,7 @@
 		return err
 	}
 	s.PeerSecretFile = c.path("peer.secret")
+	s.IdleTimeoutMillis = c.shape.idleTimeoutMillis
 	s.TraceFile = c.path(s.Name + ".spans.jsonl")
 	file := c.path(s.Name + ".settings.json")
 	if err := writeJSON(file, s); err != nil {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -59,6 +59,7 @@
 	flags.IntVar(&s.gateways, "gateways", 2, "")
 	flags.IntVar(&s.engines, "engines", 0, "")
 	flags.IntVar(&s.plain, "plain", 0, "")
+	flags.IntVar(&s.idleTimeoutMillis, "idle-timeout-ms", 0, "")
 	flags.IntVar(&s.memoryTokens, "memory-tokens", 0, "")
 	flags.IntVar(&s.keyLifetimeSeconds, "key-lifetime", 0, "")
 	flags.Float64Var(&s.slowdown, "slowdown", 1, "")
