Log when admission returns to the limits of a cold upstream

Cause: an unannounced cold turn lowered the limit without any trace for operators. Change: event 3015 admission_reset, with the number of resets.

--- a/internal/process/eventlog/sidecar.go
+++ b/internal/process/eventlog/sidecar.go
@@ -69,12 +69,17 @@
 		3014, "model_loaded", zerolog.InfoLevel,
 		"The engine loaded the model that the configuration assigns to the slot.", "none",
 	}
+	AdmissionReset = Event{
+		3015, "admission_reset", zerolog.WarnLevel,
+		"The upstream was restarted or turned cold; admission begins again with the limits of a cold upstream.",
+		"none; look at the upstream if it happens often without restarts.",
+	}
 )
 
 func sidecarEvents() []Event {
 	return []Event{
 		UpstreamUp, UpstreamDown, UpstreamRestarted, SidecarLeaving, SidecarResumed, GenerationFailed,
 		GenerationAdopted, GenerationAbandoned, CallOutcomeUnknown, LedgerHandedOver, LedgerNotHandedOver,
-		LedgerTaken, OrderRefusedUnknown, OrderToEngineFailed, ModelLoaded,
+		LedgerTaken, OrderRefusedUnknown, OrderToEngineFailed, ModelLoaded, AdmissionReset,
 	}
 }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -174,6 +174,7 @@
 	for every(ctx, keepInterval) {
 		now := s.clock()
 		s.reap(now)
+		s.noteResets()
 		s.measure()
 		lifetime := service.DefaultKeyLifetime
 		if svc := s.service(); svc != nil {
@@ -183,6 +184,17 @@
 	}
 }
 
+// noteResets logs that admission returned to the limits of a cold upstream.
+func (s *Sidecar) noteResets() {
+	st := s.stage.Load()
+	if st == nil {
+		return
+	}
+	if resets := st.controller.Resets(); resets != st.resets.Swap(resets) {
+		s.log.Emit(eventlog.AdmissionReset).Str("peer", s.settings.UpstreamAddress).Uint64("resets", resets).Send()
+	}
+}
+
 // measure updates the gauges.
 func (s *Sidecar) measure() {
 	r := s.report()
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -106,6 +106,8 @@
 type stage struct {
 	queue      *fairqueue.Queue
 	controller *admission.Controller
+	// resets is the number of the controller's resets that were logged.
+	resets atomic.Uint64
 }
 
 func build(d dependencies) (*Sidecar, error) {
