Encode frames in one place and drop unused scenario commands

Cause: on reading the whole change again, the heartbeat that carries a due load report repeated the encoding of send, and two scenario commands, which no script uses, were one function under two names. Change: both ways of sending a frame call write; the commands are gone.

--- a/internal/process/sidecar/frames.go
+++ b/internal/process/sidecar/frames.go
@@ -40,6 +40,10 @@
 // send writes a frame, with the load if that is due.
 func (f *frameWriter) send(message frame.Frame) error {
 	message.Load = f.report()
+	return f.write(message)
+}
+
+func (f *frameWriter) write(message frame.Frame) error {
 	var err error
 	f.buffer, err = message.Append(f.buffer[:0])
 	if err != nil {
@@ -69,12 +73,7 @@
 	if report == nil {
 		return nil
 	}
-	var err error
-	heartbeat := frame.Frame{Kind: frame.KindHeartbeat, Load: report}
-	if f.buffer, err = heartbeat.Append(f.buffer[:0]); err != nil {
-		return err
-	}
-	return f.flush()
+	return f.write(frame.Frame{Kind: frame.KindHeartbeat, Load: report})
 }
 
 // tokens writes the tokens that follow the given number.
--- a/scenarios/faults_test.go
+++ b/scenarios/faults_test.go
@@ -1,7 +1,6 @@
 package scenarios_test
 
 import (
-	"encoding/json"
 	"net/http"
 	"syscall"
 
@@ -80,14 +79,3 @@
 		ts.Fatalf("unknown change %q", args[1])
 	}
 }
-
-// injectEngineFault: engine NAME JSON
-func injectEngineFault(ts *testscript.TestScript, _ bool, args []string) { injectFault(ts, args) }
-
-// injectPlainFault: plain NAME JSON
-func injectPlainFault(ts *testscript.TestScript, _ bool, args []string) { injectFault(ts, args) }
-
-func injectFault(ts *testscript.TestScript, args []string) {
-	address := clusterOf(ts).address(argument(ts, args, 0), "upstream")
-	ts.Check(sendJSON(http.MethodPost, "http://"+address+"/admin/fault", json.RawMessage(argument(ts, args, 1))))
-}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -35,8 +35,6 @@
 			"notready":   awaitNotReady,
 			"restart":    restart,
 			"link":       changeLink,
-			"engine":     injectEngineFault,
-			"plain":      injectPlainFault,
 			"idle":       awaitIdle,
 			"datacentre": setDataCentre,
 			"instance":   setInstance,
