--- a/cmd/flamingohold/commands.go
+++ b/cmd/flamingohold/commands.go
@@ -10,7 +10,7 @@
 	"    0  success\n" +
 	"    1  faults were found, or the command could not finish\n" +
 	"    2  the arguments are wrong\n" +
-	"    3  a gateway or sidecar cannot start or serve"
+	"    3  a process cannot start or serve"
 
 // program is the surroundings of all commands.
 type program struct {
@@ -29,6 +29,7 @@
 	return []command{
 		p.processCommand("gateway", "Serve callers.", newGateway),
 		p.processCommand("sidecar", "Serve beside an upstream.", newSidecar),
+		p.machineCommand("router", "Serve callers before upstreams that are reached directly.", newRouter),
 		p.checkCommand(),
 		p.collectCommand(),
 		p.statusCommand(),
--- /dev/null
+++ b/cmd/flamingohold/machine.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/logsink"
+	"github.com/flamingohold/flamingohold/internal/process/machine"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/router"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/process/telemetry"
+	"github.com/flamingohold/flamingohold/platform"
+)
+
+// newMachineRunner returns a process on a machine of the platform.
+type newMachineRunner func(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error)
+
+// machineCommand returns the command of a process whose settings the platform
+// provides.
+func (p *program) machineCommand(name, description string, construct newMachineRunner) command {
+	examples := fmt.Sprintf(`
+    flamingohold %[1]s
+    flamingohold %[1]s --log-level debug
+  The settings come from the file that the platform names to the process.
+  SIGTERM starts a graceful shutdown: running work ends, then the process exits with code 0.`, name)
+	flags := newCommand(name, description, examples)
+	level := zerolog.LevelInfoValue
+	flags.String(&level, "", "log-level", "debug, info, warn or error")
+	return command{flags, func() int { return p.runMachine(level, construct) }}
+}
+
+func (p *program) runMachine(levelName string, construct newMachineRunner) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	level, err := zerolog.ParseLevel(levelName)
+	if err != nil {
+		_, _ = fmt.Fprintln(p.stderr, "flamingohold: flag --log-level:", err)
+		return exitUsage
+	}
+	s, err := platform.LoadSettings(p.environment)
+	if err != nil {
+		_, _ = fmt.Fprintln(p.stderr, "flamingohold:", err)
+		return exitProcess
+	}
+	sink := logsink.New(p.stdout, eventlog.DroppedLine)
+	defer sink.Close()
+	log := eventlog.New(sink, level, s.Name)
+	if err := serveMachine(ctx, s, log, construct); err != nil {
+		log.Emit(eventlog.ProcessFailed).Err(err).Send()
+		return exitProcess
+	}
+	return exitSuccess
+}
+
+func serveMachine(ctx context.Context, s machine.Settings, log *eventlog.Log, construct newMachineRunner) error {
+	t, err := telemetry.New(ctx, &settings.Settings{Name: s.Name, DataCentre: s.DataCentre})
+	if err != nil {
+		return err
+	}
+	r, err := construct(s, log, t)
+	if err != nil {
+		return errors.CombineErrors(err, t.Shutdown(context.Background()))
+	}
+	err = r.Run(ctx)
+	return errors.CombineErrors(err, t.Shutdown(context.Background()))
+}
+
+func newRouter(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
+	return router.New(router.Platform{
+		Settings: s,
+		Headers:  platform.Headers(),
+		Decoder:  platform.Items{},
+		Store:    func(pool *exchange.Pool) mirror.Store { return platform.NewStore(s.StoreAddress, pool) },
+		Engines:  func(pool *exchange.Pool) relocation.Engines { return platform.NewEngines(pool) },
+	}, log, t)
+}
--- /dev/null
+++ b/internal/connection/exchange/connection.go
@@ -0,0 +1,200 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// smallRequestBytes is the size up to which a request is sent before the
+	// answer is read. Larger ones are sent at the same time, as the peer may
+	// answer before it has read them.
+	smallRequestBytes = 8 << 10
+	// maxForeignAnswers bounds the answers to other requests that are dropped
+	// before a connection is given up.
+	maxForeignAnswers = 4
+	// maxForeignBytes bounds the body of such an answer.
+	maxForeignBytes = 1 << 20
+)
+
+var errForeignAnswers = errors.New("the connection brings only answers to other requests")
+
+// connection is one connection to an upstream. It carries one exchange at a
+// time.
+type connection struct {
+	pool    *Pool
+	address string
+	socket  net.Conn
+	reader  *bufio.Reader
+	// keep is how long the peer keeps the connection when it is idle.
+	keep time.Duration
+	// idleSince is when the last exchange ended, zero for a new connection.
+	idleSince time.Time
+}
+
+func newConnection(p *Pool, address string, socket net.Conn) *connection {
+	return &connection{
+		pool: p, address: address, socket: socket,
+		reader: bufio.NewReaderSize(socket, readBufferBytes), keep: defaultIdle,
+	}
+}
+
+func (c *connection) close() { _ = c.socket.Close() }
+
+func (c *connection) expired(now time.Time) bool {
+	return now.Sub(c.idleSince) > c.keep-idleMargin
+}
+
+// reusable reports whether an idle connection can carry another request.
+func (c *connection) reusable(now time.Time, fresh bool) bool {
+	if c.expired(now) || (fresh && now.Sub(c.idleSince) > freshIdle) {
+		return false
+	}
+	return c.quiet()
+}
+
+// quiet reports whether the peer has neither closed the connection nor sent
+// anything on it.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(failed, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange sends the request and reads the head of the answer.
+func (c *connection) exchange(ctx context.Context, r *Request) (*Answer, error) {
+	stop := context.AfterFunc(ctx, c.close)
+	sent, err := c.send(r)
+	if err != nil {
+		stop()
+		c.close()
+		return nil, &Failure{Step: "send", Address: c.address, Sent: true, Err: cause(ctx, err)}
+	}
+	response, err := c.receive(r)
+	if err != nil {
+		stop()
+		c.close()
+		return nil, &Failure{Step: "receive", Address: c.address, Sent: true, Err: cause(ctx, err)}
+	}
+	c.noteKeepAlive(response.Header)
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, chunked: len(response.TransferEncoding) > 0,
+		body: response.Body, connection: c, closes: response.Close, stop: stop, sent: sent, ctx: ctx,
+	}, nil
+}
+
+// send writes the request. The channel gets the result of the writing.
+func (c *connection) send(r *Request) (<-chan error, error) {
+	data := r.encode()
+	sent := make(chan error, 1)
+	if len(data) <= smallRequestBytes {
+		_, err := c.socket.Write(data)
+		sent <- nil
+		return sent, err
+	}
+	go func() {
+		_, err := c.socket.Write(data)
+		sent <- err
+	}()
+	return sent, nil
+}
+
+// receive reads the head of the answer to the request; it drops interim answers
+// and those to other requests.
+func (c *connection) receive(r *Request) (*http.Response, error) {
+	for range maxForeignAnswers {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if r.IsAnswer == nil || r.IsAnswer(response.Header) {
+			return response, nil
+		}
+		if err := drop(response); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errForeignAnswers
+}
+
+// drop reads an answer to another request to its end.
+func drop(response *http.Response) error {
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errForeignAnswers
+	}
+	n, err := discard(response)
+	if err != nil {
+		return err
+	}
+	if n > maxForeignBytes {
+		return errForeignAnswers
+	}
+	return nil
+}
+
+func discard(response *http.Response) (int, error) {
+	defer func() { _ = response.Body.Close() }()
+	buffer := make([]byte, readBufferBytes)
+	total := 0
+	for total <= maxForeignBytes {
+		n, err := response.Body.Read(buffer)
+		total += n
+		if isEnd(err) {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+	return total, nil
+}
+
+// noteKeepAlive takes over how long the peer keeps an idle connection.
+func (c *connection) noteKeepAlive(h http.Header) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+			c.keep = time.Duration(seconds) * time.Second
+		}
+	}
+}
+
+// cause returns the reason for which the context ended, if it did, as it closed
+// the connection.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/connection/exchange/pool.go
@@ -0,0 +1,180 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a connection that
+	// went silent.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	// userTimeout is the time after which unacknowledged data end a connection.
+	userTimeout = 3 * time.Second
+	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
+	tcpUserTimeout = 0x12
+	// defaultIdle is how long an idle connection is used again if the peer does
+	// not say how long it keeps one; idleMargin is kept clear of that time.
+	defaultIdle = 4 * time.Second
+	idleMargin  = 500 * time.Millisecond
+	// freshIdle is the longest idle time of a connection for a request that
+	// cannot be repeated.
+	freshIdle = 1500 * time.Millisecond
+	// maxIdle bounds the idle connections to one address.
+	maxIdle = 64
+)
+
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Options are the properties of a pool.
+type Options struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// Opened is told of each new connection; nil ignores it.
+	Opened func(address string)
+}
+
+// Pool holds the connections to all upstreams. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  Dialer
+	clock   func() time.Time
+
+	mu   sync.Mutex
+	idle map[string][]*connection
+}
+
+// New returns an empty pool.
+func New(options Options, clock func() time.Time) *Pool {
+	dialer := &net.Dialer{
+		Timeout:         options.DialTimeout,
+		Control:         setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	return NewWithDialer(options, dialer, clock)
+}
+
+// NewWithDialer returns an empty pool whose connections the dialer opens.
+func NewWithDialer(options Options, dialer Dialer, clock func() time.Time) *Pool {
+	return &Pool{options: options, dialer: dialer, clock: clock, idle: make(map[string][]*connection)}
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Send sends the request and returns the head of the answer. The caller must
+// close the answer. Ending the context closes the connection, also while the
+// body is being read. An error is a *Failure.
+func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Answer, error) {
+	c, err := p.connection(ctx, address, r.MustBeFresh)
+	if err != nil {
+		return nil, &Failure{Step: "dial", Address: address, Err: err}
+	}
+	return c.exchange(ctx, r)
+}
+
+func (p *Pool) connection(ctx context.Context, address string, fresh bool) (*connection, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			return p.open(ctx, address)
+		}
+		if c.reusable(p.clock(), fresh) {
+			return c, nil
+		}
+		c.close()
+	}
+}
+
+// takeIdle returns the connection that was used last, nil if there is none.
+func (p *Pool) takeIdle(address string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	socket, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.options.Opened != nil {
+		p.options.Opened(address)
+	}
+	return newConnection(p, address, socket), nil
+}
+
+func (p *Pool) putIdle(c *connection) {
+	p.mu.Lock()
+	list := p.idle[c.address]
+	var surplus *connection
+	if len(list) >= maxIdle {
+		surplus, list = list[0], list[1:]
+	}
+	p.idle[c.address] = append(list, c)
+	p.mu.Unlock()
+	if surplus != nil {
+		surplus.close()
+	}
+}
+
+// Forget closes the idle connections to the address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.close()
+	}
+}
+
+// CloseIdle closes the connections that have been idle for too long to be used
+// again.
+func (p *Pool) CloseIdle(now time.Time) {
+	p.mu.Lock()
+	var stale []*connection
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if c.expired(now) {
+				stale = append(stale, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range stale {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/connection/exchange/request.go
@@ -0,0 +1,49 @@
+package exchange
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// Request is one request as it goes over the wire.
+type Request struct {
+	Method string
+	// Target is the path with the query, as the caller sent it.
+	Target string
+	Host   string
+	// Header must not hold fields that concern one connection.
+	Header http.Header
+	Body   []byte
+	// IsAnswer reports whether the header is that of an answer to this request;
+	// nil accepts every answer. Others are read and dropped.
+	IsAnswer func(http.Header) bool
+	// MustBeFresh demands a connection that was in use a moment ago or is new,
+	// for requests that cannot be repeated.
+	MustBeFresh bool
+}
+
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	// Writing to a bytes.Buffer does not fail.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || hasBody(r.Method) {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -63,7 +63,7 @@
 		socket:   socket,
 		listener: l,
 		drained:  make(chan struct{}, 1),
-		deadline: now.Add(l.options.IdleTimeout),
+		deadline: now.Add(l.options.limits().IdleTimeout),
 	}
 }
 
@@ -151,7 +151,7 @@
 		return false
 	}
 	if !c.receiving && c.active == 0 {
-		c.deadline = now.Add(c.listener.options.ReceiveTimeout)
+		c.deadline = now.Add(c.listener.options.limits().ReceiveTimeout)
 	}
 	c.receiving = true
 	return true
@@ -179,7 +179,7 @@
 	idle := c.active == 0
 	ending := c.ending
 	if idle {
-		c.deadline = now.Add(c.listener.options.IdleTimeout)
+		c.deadline = now.Add(c.listener.options.limits().IdleTimeout)
 	}
 	c.mu.Unlock()
 	switch {
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -60,10 +60,40 @@
 	// ReceiveTimeout closes a connection whose request has not arrived whole
 	// this long after its first byte, by default 30 s.
 	ReceiveTimeout time.Duration
+	// Limits returns limits that change while the listener serves; nil, and a
+	// limit of 0, leave those above.
+	Limits func() Limits
 	// Panicked is told of a panic of the handler; nil ignores it.
 	Panicked func(value any, stack []byte)
 }
 
+// Limits are the bounds on one connection that may change.
+type Limits struct {
+	// MaxHeaderBytes bounds the request line and the header.
+	MaxHeaderBytes int
+	IdleTimeout    time.Duration
+	ReceiveTimeout time.Duration
+}
+
+// limits returns the limits in force.
+func (o *Options) limits() Limits {
+	l := Limits{MaxHeaderBytes: maxHeaderBytes, IdleTimeout: o.IdleTimeout, ReceiveTimeout: o.ReceiveTimeout}
+	if o.Limits == nil {
+		return l
+	}
+	changed := o.Limits()
+	if changed.MaxHeaderBytes > 0 {
+		l.MaxHeaderBytes = changed.MaxHeaderBytes
+	}
+	if changed.IdleTimeout > 0 {
+		l.IdleTimeout = changed.IdleTimeout
+	}
+	if changed.ReceiveTimeout > 0 {
+		l.ReceiveTimeout = changed.ReceiveTimeout
+	}
+	return l
+}
+
 // FromSettings returns the options for the address with the process's limits.
 // On the peer address, a message may hold a request body of the largest size in
 // base64 besides its other fields.
@@ -115,8 +145,10 @@
 	// busy holds the connections that receive a request, serve one, or have
 	// unsent data.
 	busy map[*connection]struct{}
-	// closing is true once Shutdown has begun.
+	// closing is true once connections are to close after their next answer.
 	closing bool
+	// shutDown is true once Shutdown has begun.
+	shutDown bool
 }
 
 var quietLibrary sync.Once
@@ -177,13 +209,21 @@
 // Address returns the "ip:port" on which the listener accepts.
 func (l *Listener) Address() string { return l.socket.Addr().String() }
 
+// CloseAfterAnswers makes each further answer the last one of its connection.
+// New connections are still accepted.
+func (l *Listener) CloseAfterAnswers() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+}
+
 // Shutdown stops accepting connections, lets running requests end and their
 // answers reach the callers, and closes all connections. If the context ends
 // first, it closes them at once and returns the context's error.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.mu.Lock()
-	again := l.closing
-	l.closing = true
+	again := l.shutDown
+	l.shutDown, l.closing = true, true
 	l.mu.Unlock()
 	if again {
 		return errors.New("listener is already shut down")
@@ -345,20 +385,22 @@
 }
 
 func (l *Listener) sweepBusy(now time.Time) {
+	idleTimeout := l.options.limits().IdleTimeout
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.busy {
-		if !c.inspect(now, l.options.IdleTimeout) {
+		if !c.inspect(now, idleTimeout) {
 			delete(l.busy, c)
 		}
 	}
 }
 
 func (l *Listener) sweepOpen(now time.Time) {
+	idleTimeout := l.options.limits().IdleTimeout
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for socket, c := range l.open {
-		if !c.inspect(now, l.options.IdleTimeout) && c.Closed() && !c.serving() {
+		if !c.inspect(now, idleTimeout) && c.Closed() && !c.serving() {
 			delete(l.open, socket)
 		}
 	}
--- a/internal/connection/listener/processor.go
+++ b/internal/connection/listener/processor.go
@@ -45,8 +45,8 @@
 
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	p.headerBytes += len(key) + len(value)
-	if p.headerBytes > maxHeaderBytes {
-		p.connection.refuse(problem.Rejected("header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the request header exceeds 64 KiB"))
+	if p.headerBytes > p.connection.listener.options.limits().MaxHeaderBytes {
+		p.connection.refuse(problem.Rejected("header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the request header exceeds the limit"))
 		return
 	}
 	if strings.ContainsFunc(value, isControl) {
--- /dev/null
+++ b/internal/process/directory/view.go
@@ -0,0 +1,33 @@
+package directory
+
+import "time"
+
+// View is what is known of one upstream at one moment. It is an immutable value.
+type View struct {
+	ID         string
+	Address    string
+	DataCentre string
+	Service    string
+	Born       int64
+	Slots      int
+	// Calls and Tokens are the work that this process has there.
+	Calls  int
+	Tokens int
+	// Reported is true if the upstream's own report is recent. Running and
+	// MemoryUsed then hold the work of all processes, that begun since included.
+	Reported    bool
+	ReportAge   time.Duration
+	Running     int
+	MemoryUsed  int
+	MemoryTotal int
+	// FailureRate is the share of recent calls that failed, from 0 to 1.
+	FailureRate float64
+	// Suspect upstreams could not be reached a moment ago.
+	Suspect bool
+	// Cold upstreams tolerate only a low rate; Blocked ones have had it.
+	Cold, Blocked bool
+	// Leaving upstreams get no new work; LeavesAt is when they end, zero if
+	// unknown.
+	Leaving  bool
+	LeavesAt time.Time
+}
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/rs/zerolog"
@@ -44,9 +45,17 @@
 func Catalogue() []Event {
 	var events []Event
 	for _, group := range [][]Event{
-		processEvents(), gatewayEvents(), sidecarEvents(), configurationEvents(), policyEvents(),
+		processEvents(), gatewayEvents(), sidecarEvents(), configurationEvents(), policyEvents(), routerEvents(),
 	} {
 		events = append(events, group...)
 	}
 	return events
 }
+
+// DroppedLine returns the line that tells how many lines of the log were
+// dropped because its reader was too slow.
+func DroppedLine(lines int64) []byte {
+	var line bytes.Buffer
+	New(&line, zerolog.InfoLevel, "").Emit(LogLinesDropped).Int64("lines", lines).Send()
+	return line.Bytes()
+}
--- /dev/null
+++ b/internal/process/fleetview/fact.go
@@ -0,0 +1,38 @@
+package fleetview
+
+import (
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+// Fact is what an item says: a Listed, an Unlisted, an Evacuation or a
+// Configuration.
+type Fact interface{ fact() }
+
+// Listed states that the list names an upstream.
+type Listed struct{ Entry directory.Entry }
+
+// Unlisted states that the list does not name the upstream.
+type Unlisted struct{ ID string }
+
+// Evacuation states whether a data centre is out of service.
+type Evacuation struct {
+	DataCentre string
+	Out        bool
+}
+
+// Configuration is a version of the routes.
+type Configuration struct{ Table *routetable.Table }
+
+func (Listed) fact()        {}
+func (Unlisted) fact()      {}
+func (Evacuation) fact()    {}
+func (Configuration) fact() {}
+
+// Decoder decodes the items of a store.
+type Decoder interface {
+	// Decode returns what the item says, nil if it concerns nobody. It may
+	// return a fact along with the error that explains it.
+	Decode(item mirror.Item) (Fact, error)
+}
--- /dev/null
+++ b/internal/process/fleetview/fleetview.go
@@ -0,0 +1,65 @@
+package fleetview
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+// View is what a process believes about the fleet. It is safe for concurrent
+// use.
+type View struct {
+	decoder   Decoder
+	directory *directory.Directory
+	log       *eventlog.Log
+	table     atomic.Pointer[routetable.Table]
+	// adopted is told of each new table.
+	adopted func(*routetable.Table)
+}
+
+// New returns a view that keeps the directory. The function adopted is told of
+// each new table.
+func New(d Decoder, dir *directory.Directory, log *eventlog.Log, adopted func(*routetable.Table)) *View {
+	return &View{decoder: d, directory: dir, log: log, adopted: adopted}
+}
+
+// Table returns the table in force, nil before the first one.
+func (v *View) Table() *routetable.Table { return v.table.Load() }
+
+// Apply takes over changes of the mirror. Calls must not overlap.
+func (v *View) Apply(changes []mirror.Change, now time.Time) {
+	for _, c := range changes {
+		fact, err := v.decoder.Decode(c.Item)
+		if err != nil {
+			v.log.Emit(eventlog.ItemRefused).Str("key", c.Item.Key).Int64("revision", c.Item.Revision).Err(err).Send()
+		}
+		v.apply(fact, c, now)
+	}
+}
+
+func (v *View) apply(fact Fact, c mirror.Change, now time.Time) {
+	switch f := fact.(type) {
+	case Listed:
+		v.directory.List(f.Entry, now)
+	case Unlisted:
+		v.directory.Unlist(f.ID, c.Unconfirmed, now)
+	case Evacuation:
+		v.directory.SetEvacuated(f.DataCentre, f.Out)
+	case Configuration:
+		v.adopt(f.Table, c.Item.Revision)
+	}
+}
+
+// adopt puts the table in force unless a newer one is.
+func (v *View) adopt(t *routetable.Table, revision int64) {
+	if current := v.table.Load(); current != nil && current.Version() >= t.Version() {
+		return
+	}
+	v.table.Store(t)
+	v.log.Emit(eventlog.TableAdopted).Int64("version", t.Version()).Int64("revision", revision).Send()
+	v.adopted(t)
+}
--- /dev/null
+++ b/internal/process/logsink/doc.go
@@ -0,0 +1,3 @@
+// Package logsink writes log lines without ever blocking the process: lines that
+// a slow reader leaves no room for are dropped and counted.
+package logsink
--- /dev/null
+++ b/internal/process/mirror/item.go
@@ -0,0 +1,20 @@
+package mirror
+
+// Item is the state of one key of the store.
+type Item struct {
+	Key string `json:"key"`
+	// Value is nil for a deleted key.
+	Value []byte `json:"value,omitempty"`
+	// Revision is the store's revision of the last change of the key.
+	Revision int64 `json:"revision"`
+	Deleted  bool  `json:"deleted,omitempty"`
+}
+
+// Batch is a set of items and the revision up to which it is complete.
+type Batch struct {
+	Items    []Item `json:"items,omitempty"`
+	Revision int64  `json:"revision"`
+	// Full is true if the batch holds every key that existed at Revision, so
+	// that a key that is absent was deleted.
+	Full bool `json:"full,omitempty"`
+}
--- /dev/null
+++ b/internal/process/relocation/relocation.go
@@ -0,0 +1,263 @@
+package relocation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/selection"
+)
+
+const (
+	// quickCopy is the time of a copy below which little is new, so that the
+	// final copy stops the run only briefly.
+	quickCopy = 25 * time.Millisecond
+	// maxCopies bounds the copies ahead of the final one.
+	maxCopies = 6
+	// maxTargets bounds the upstreams that are tried as target.
+	maxTargets = 4
+	// retryPause is the time before a step that may soon succeed is tried again.
+	retryPause = 20 * time.Millisecond
+	// moveTimeout bounds a whole move.
+	moveTimeout = 6 * time.Second
+	// copyTimeout bounds one copy.
+	copyTimeout = 3 * time.Second
+	// finalTimeout bounds the final copy, during which nothing is generated.
+	finalTimeout = 2 * time.Second
+)
+
+// Directory gives the upstreams to move to.
+type Directory interface {
+	Service(service string, now time.Time) []directory.View
+	Upstream(id string, now time.Time) (directory.View, bool)
+}
+
+// Turns lets the runs of one upstream be copied one after another.
+type Turns interface {
+	// Acquire waits for the turn. The release must be called in any case.
+	Acquire(ctx context.Context, source directory.View, requestID string) (release func())
+}
+
+// Relocator moves the runs of one process.
+type Relocator struct {
+	engines   Engines
+	directory Directory
+	turns     Turns
+	log       *eventlog.Log
+	clock     func() time.Time
+	draw      func() float64
+	// memory returns the memory of one engine of the service in tokens.
+	memory func(service string) int
+
+	mu sync.Mutex
+	// runs holds the runs by upstream.
+	runs map[string]map[*Run]struct{}
+}
+
+// Options are the dependencies of a relocator.
+type Options struct {
+	Engines   Engines
+	Directory Directory
+	Turns     Turns
+	Log       *eventlog.Log
+	Clock     func() time.Time
+	// Draw returns a random number from [0, 1).
+	Draw func() float64
+	// Memory returns the memory of one engine of the service in tokens, 0 if
+	// runs of the service cannot be moved.
+	Memory func(service string) int
+}
+
+// New returns a relocator without runs.
+func New(o Options) *Relocator {
+	return &Relocator{
+		engines: o.Engines, directory: o.Directory, turns: o.Turns, log: o.Log, clock: o.Clock,
+		draw: o.Draw, memory: o.Memory, runs: make(map[string]map[*Run]struct{}),
+	}
+}
+
+// Begin takes charge of the run. It moves at once if its upstream leaves.
+func (m *Relocator) Begin(ctx context.Context, r *Run) {
+	m.add(r)
+	m.moveIfLeaving(ctx, r)
+}
+
+func (m *Relocator) moveIfLeaving(ctx context.Context, r *Run) {
+	v, ok := m.directory.Upstream(r.Source().ID, m.clock())
+	if ok && v.Leaving {
+		go m.move(ctx, r)
+	}
+}
+
+func (m *Relocator) add(r *Run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := r.Source().ID
+	if m.runs[id] == nil {
+		m.runs[id] = make(map[*Run]struct{})
+	}
+	m.runs[id][r] = struct{}{}
+}
+
+func (m *Relocator) remove(r *Run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := r.Source().ID
+	delete(m.runs[id], r)
+	if len(m.runs[id]) == 0 {
+		delete(m.runs, id)
+	}
+}
+
+// End gives up the run.
+func (m *Relocator) End(r *Run) {
+	r.end()
+	m.remove(r)
+}
+
+// Moved records that the run goes on at the target.
+func (m *Relocator) Moved(ctx context.Context, r *Run, target directory.View) {
+	m.remove(r)
+	r.setSource(target)
+	m.add(r)
+	m.moveIfLeaving(ctx, r)
+}
+
+// Departed moves all runs away from the upstream.
+func (m *Relocator) Departed(ctx context.Context, id string) {
+	m.mu.Lock()
+	runs := make([]*Run, 0, len(m.runs[id]))
+	for r := range m.runs[id] {
+		runs = append(runs, r)
+	}
+	m.mu.Unlock()
+	for _, r := range runs {
+		go m.move(ctx, r)
+	}
+}
+
+// move copies the run to another upstream and hands it off.
+func (m *Relocator) move(ctx context.Context, r *Run) {
+	if m.memory(r.service) == 0 || !r.beginMove() {
+		return
+	}
+	defer r.endMove()
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	source := r.Source()
+	release := m.turns.Acquire(ctx, source, r.requestID)
+	defer release()
+	tried := map[string]bool{source.ID: true}
+	for range maxTargets {
+		target, ok := m.target(r, source, tried)
+		if !ok {
+			m.failed(r, source, directory.View{}, "choose_target", errors.New("no upstream has room"))
+			return
+		}
+		tried[target.ID] = true
+		err := m.moveTo(ctx, r, source, target)
+		if err == nil || r.isEnded() || ctx.Err() != nil || !errors.Is(err, ErrNoRoom) {
+			return
+		}
+	}
+}
+
+func (m *Relocator) target(r *Run, source directory.View, tried map[string]bool) (directory.View, bool) {
+	views := m.directory.Service(r.service, m.clock())
+	request := selection.Request{
+		DataCentre: source.DataCentre, Tokens: r.promptTokens, MemoryTokens: m.memory(r.service),
+		Exclude: tried, StayPenalty: moveStayPenalty,
+	}
+	return selection.Choose(views, request, m.draw)
+}
+
+// moveStayPenalty is the load that is accepted at the target for a copy within
+// the data centre, which takes half the time.
+const moveStayPenalty = 0.4
+
+func (m *Relocator) moveTo(ctx context.Context, r *Run, source, target directory.View) error {
+	order := CopyOrder{RequestID: r.requestID, SourceAddress: source.Address, TargetAddress: target.Address}
+	handle, err := m.copyAhead(ctx, r, order, source, target)
+	if err != nil {
+		m.failed(r, source, target, "copy", err)
+		return err
+	}
+	order.Final = true
+	began := m.clock()
+	result, err := m.copyOnce(ctx, order, finalTimeout)
+	switch {
+	case err == nil:
+		r.setHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events, Source: source})
+		m.log.Emit(eventlog.GenerationMoved).Str("request_id", r.requestID).Str("from", source.ID).Str("to", target.ID).
+			Int("events", result.Events).Dur("pause", m.clock().Sub(began)).Send()
+		return nil
+	case errors.Is(err, ErrNoRoom) && result.Handle != "":
+		// The run has stopped; its memory is at the source.
+		r.setHandoff(Handoff{Target: source, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events})
+	case errors.Is(err, ErrNoSuchRun):
+		r.clearHandoff()
+	default:
+		// The order may have been carried out: the copy holds nearly all.
+		r.setHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle), Source: source})
+	}
+	m.failed(r, source, target, "final_copy", err)
+	return err
+}
+
+// copyAhead copies the run's memory while it goes on until little is new.
+func (m *Relocator) copyAhead(ctx context.Context, r *Run, order CopyOrder, source, target directory.View) (string, error) {
+	handle := ""
+	for copies := 0; copies < maxCopies; {
+		began := m.clock()
+		result, err := m.copyOnce(ctx, order, copyTimeout)
+		switch {
+		case errors.Is(err, ErrBusy), errors.Is(err, ErrNoSuchRun) && r.Events() == 0:
+			if err := m.pause(ctx, r); err != nil {
+				return "", err
+			}
+			continue
+		case err != nil:
+			return "", err
+		}
+		copies++
+		handle = result.Handle
+		r.setHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle)})
+		if m.clock().Sub(began) < quickCopy {
+			return handle, nil
+		}
+	}
+	return handle, nil
+}
+
+// pause waits before another try. It fails once the run has ended.
+func (m *Relocator) pause(ctx context.Context, r *Run) error {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+	}
+	if r.isEnded() {
+		return ErrNoSuchRun
+	}
+	return nil
+}
+
+func (m *Relocator) copyOnce(ctx context.Context, order CopyOrder, timeout time.Duration) (Copy, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return m.engines.Copy(ctx, order)
+}
+
+func (m *Relocator) failed(r *Run, source, target directory.View, step string, err error) {
+	if r.isEnded() || errors.Is(err, ErrNoSuchRun) {
+		return
+	}
+	m.log.Emit(eventlog.GenerationMoveFailed).Str("request_id", r.requestID).Str("from", source.ID).
+		Str("to", target.ID).Str("step", step).Err(err).Send()
+}
--- /dev/null
+++ b/internal/process/relocation/run.go
@@ -0,0 +1,142 @@
+package relocation
+
+import (
+	"context"
+	"sync"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+)
+
+// Handoff tells how a run goes on at another upstream.
+type Handoff struct {
+	Target directory.View
+	// From names the copy to the target.
+	From string
+	// Events is the number of events made before the handoff, 0 if unknown.
+	Events int
+	// Source is the upstream that still holds a stopped run; its zero value
+	// means that it does not.
+	Source directory.View
+}
+
+// Run is a generation in progress at one upstream. It is safe for concurrent
+// use.
+type Run struct {
+	requestID string
+	// promptTokens and outputTokens are the sizes by the request's own word.
+	promptTokens, outputTokens int
+	service                    string
+
+	mu     sync.Mutex
+	source directory.View
+	// events counts the events that reached this process.
+	events int
+	ended  bool
+	// moving is true while a move is under way; settled is closed when it ends.
+	moving  bool
+	settled chan struct{}
+	// handoff is where the run goes on, nil for nowhere.
+	handoff *Handoff
+}
+
+// NewRun returns a run of the request at the upstream.
+func NewRun(requestID, service string, source directory.View, promptTokens, outputTokens int) *Run {
+	return &Run{
+		requestID: requestID, service: service, source: source,
+		promptTokens: promptTokens, outputTokens: outputTokens,
+	}
+}
+
+// Event records that an event of the run arrived.
+func (r *Run) Event() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events++
+}
+
+// Events returns the number of events that arrived.
+func (r *Run) Events() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events
+}
+
+// Source returns the upstream at which the run is.
+func (r *Run) Source() directory.View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source
+}
+
+// Continue returns where the run goes on after its stream ended early. It waits
+// for a move that is under way.
+func (r *Run) Continue(ctx context.Context) (Handoff, bool) {
+	r.mu.Lock()
+	settled := r.settled
+	moving := r.moving
+	r.mu.Unlock()
+	if moving {
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			return Handoff{}, false
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.handoff == nil {
+		return Handoff{}, false
+	}
+	h := *r.handoff
+	r.handoff = nil
+	return h, true
+}
+
+// beginMove returns false if the run has ended or moves already.
+func (r *Run) beginMove() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.moving {
+		return false
+	}
+	r.moving = true
+	r.settled = make(chan struct{})
+	return true
+}
+
+func (r *Run) endMove() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.moving = false
+	close(r.settled)
+}
+
+func (r *Run) setHandoff(h Handoff) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handoff = &h
+}
+
+func (r *Run) clearHandoff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handoff = nil
+}
+
+func (r *Run) isEnded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
+func (r *Run) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+func (r *Run) setSource(v directory.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.source = v
+}
--- /dev/null
+++ b/internal/process/router/router.go
@@ -0,0 +1,255 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/connection/listener"
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/fleetview"
+	"github.com/flamingohold/flamingohold/internal/process/machine"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/peers"
+	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/repeatbudget"
+	"github.com/flamingohold/flamingohold/internal/process/telemetry"
+	"github.com/flamingohold/flamingohold/internal/request/forwarding"
+	"github.com/flamingohold/flamingohold/internal/request/headers"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to an upstream.
+	dialTimeout = 700 * time.Millisecond
+	// storePace is the pause between two answers of the store with changes.
+	storePace = 100 * time.Millisecond
+	// idleSweep is the time between two looks at idle connections to upstreams.
+	idleSweep = time.Second
+	// coldShare is the part of the rate of a cold upstream that the routers use
+	// together.
+	coldShare = 0.8
+	// fewestRouters is the number of routers that share such a rate at least.
+	fewestRouters = 3
+	// announceFor is how long a stopping router still accepts connections, until
+	// the platform has seen that it is not ready.
+	announceFor = 2500 * time.Millisecond
+	// stopMargin is the part of the shutdown notice that is kept clear.
+	stopMargin = 400 * time.Millisecond
+	// maxBodyBytes bounds a request body whatever the table says.
+	maxBodyBytes = 16 << 20
+	// reservedDescriptors are not used for callers' connections.
+	reservedDescriptors = 1200
+)
+
+// Platform is what a router needs of the machines it runs on.
+type Platform struct {
+	Settings machine.Settings
+	Headers  headers.Names
+	Decoder  fleetview.Decoder
+	// Store and Engines return clients over the pool.
+	Store   func(pool *exchange.Pool) mirror.Store
+	Engines func(pool *exchange.Pool) relocation.Engines
+}
+
+// Router is one process.
+type Router struct {
+	settings  machine.Settings
+	log       *eventlog.Log
+	telemetry *telemetry.Telemetry
+	clock     func() time.Time
+
+	pool      *exchange.Pool
+	mirror    *mirror.Mirror
+	follower  *mirror.Follower
+	peers     *peers.Peers
+	directory *directory.Directory
+	view      *fleetview.View
+	relocator *relocation.Relocator
+	budget    *repeatbudget.Budget
+	platform  Platform
+	stopping  atomic.Bool
+}
+
+// New returns a router that is not serving yet.
+func New(p Platform, log *eventlog.Log, t *telemetry.Telemetry) (*Router, error) {
+	s := p.Settings
+	if s.CallerAddress == "" || s.ReadinessAddress == "" || s.PeerAddress == "" {
+		return nil, errors.New("a router needs a caller, a readiness and a peer address")
+	}
+	r := &Router{settings: s, log: log, telemetry: t, clock: time.Now, platform: p}
+	r.pool = exchange.New(exchange.Options{DialTimeout: dialTimeout}, r.clock)
+	r.directory = directory.New(log, r.coldRate)
+	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
+	r.mirror = mirror.New(r.view.Apply)
+	r.follower = mirror.NewFollower(r.mirror, p.Store(r.pool), log, r.clock, storePace)
+	r.peers = peers.New(s.PeerAddress, s.Seeds, r.mirror, r.pool, log, r.clock)
+	r.budget = repeatbudget.New(repeatbudget.Bound{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, r.peers.Count)
+	r.relocator = relocation.New(relocation.Options{
+		Engines: p.Engines(r.pool), Directory: r.directory, Turns: relocation.NewLocalTurns(), Log: log,
+		Clock: r.clock, Draw: rand.Float64, Memory: r.movableMemory,
+	})
+	return r, nil
+}
+
+// coldRate returns the share of a cold upstream's rate that this router uses.
+func (r *Router) coldRate(service string) float64 {
+	t := r.view.Table()
+	if t == nil {
+		return 0
+	}
+	s := t.Service(service)
+	if s == nil || s.ColdPerSecond <= 0 {
+		return 0
+	}
+	return s.ColdPerSecond * coldShare / float64(max(fewestRouters, r.peers.Count()))
+}
+
+// movableMemory returns the memory of an engine of the service, 0 if its
+// generations cannot be moved.
+func (r *Router) movableMemory(service string) int {
+	t := r.view.Table()
+	if t == nil {
+		return 0
+	}
+	s := t.Service(service)
+	if s == nil || s.Engine == nil || !s.Engine.Movable {
+		return 0
+	}
+	return s.Engine.MemoryTokens
+}
+
+// Run serves until the context ends and then shuts down gracefully.
+func (r *Router) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	r.directory.OnDeparture(func(id string) { r.relocator.Departed(life, id) })
+	servers, callers, err := r.listen(life)
+	if err != nil {
+		return err
+	}
+	var running sync.WaitGroup
+	for _, loop := range []func(context.Context){r.follower.Run, r.peers.Run, r.sweep} {
+		running.Go(func() { loop(life) })
+	}
+	r.log.Emit(eventlog.ProcessStarted).Str("role", "router").Str("callers", callers.Address()).
+		Str("store", r.settings.StoreAddress).Strs("seeds", r.settings.Seeds).Send()
+	<-ctx.Done()
+	err = r.shutdown(callers)
+	end()
+	for _, s := range servers {
+		err = errors.CombineErrors(err, s.Shutdown(stopped()))
+	}
+	running.Wait()
+	r.log.Emit(eventlog.ProcessStopped).Str("role", "router").Send()
+	return err
+}
+
+// stopped returns a context that has ended.
+func stopped() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// listen opens the addresses. It returns the servers besides that of the
+// callers.
+func (r *Router) listen(life context.Context) ([]*listener.Listener, *listener.Listener, error) {
+	mux := http.NewServeMux()
+	mux.Handle(peers.Path(), r.peers)
+	callers, err := listener.New(listener.Options{
+		Address: r.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, Limits: r.limits,
+		MaxConnections: max(1, r.settings.MaxDescriptors-reservedDescriptors), Panicked: r.panicked,
+	}, r.forwarder(life))
+	if err != nil {
+		return nil, nil, err
+	}
+	servers := []*listener.Listener{}
+	for _, o := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{r.settings.ReadinessAddress, http.HandlerFunc(r.serveReadiness)},
+		{r.settings.PeerAddress, mux},
+		{r.settings.MetricsAddress, r.telemetry.MetricsHandler()},
+	} {
+		l, err := listener.New(listener.Options{Address: o.address, Panicked: r.panicked}, o.handler)
+		if err != nil {
+			return nil, nil, err
+		}
+		servers = append(servers, l)
+	}
+	return servers, callers, nil
+}
+
+func (r *Router) forwarder(life context.Context) http.Handler {
+	return forwarding.New(forwarding.Options{
+		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
+		Directory: r.directory, Pool: r.pool, Budget: r.budget, Relocator: r.relocator, Log: r.log,
+		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Process: life,
+	})
+}
+
+// limits returns the limits on callers in force.
+func (r *Router) limits() listener.Limits {
+	t := r.view.Table()
+	if t == nil {
+		return listener.Limits{}
+	}
+	l := t.Limits()
+	return listener.Limits{MaxHeaderBytes: l.MaxHeaderBytes, IdleTimeout: l.IdleTimeout}
+}
+
+func (r *Router) panicked(value any, stack []byte) {
+	r.log.Emit(eventlog.HandlerPanicked).Interface("value", value).Bytes("stack", stack).Send()
+}
+
+// ready reports whether new callers are welcome.
+func (r *Router) ready() bool {
+	return !r.stopping.Load() && r.view.Table() != nil && r.directory.Known()
+}
+
+func (r *Router) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !r.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// sweep closes idle connections until the context ends.
+func (r *Router) sweep(ctx context.Context) {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.pool.CloseIdle(r.clock())
+		}
+	}
+}
+
+// shutdown lets the requests in progress end within the notice.
+func (r *Router) shutdown(callers *listener.Listener) error {
+	r.stopping.Store(true)
+	began := r.clock()
+	r.log.Emit(eventlog.ProcessStopping).Dur("notice", r.settings.ShutdownNotice).Send()
+	callers.CloseAfterAnswers()
+	time.Sleep(min(announceFor, r.settings.ShutdownNotice/2))
+	left := r.settings.ShutdownNotice - stopMargin - r.clock().Sub(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		r.log.Emit(eventlog.ShutdownIncomplete).Err(err).Send()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/eventstream/eventstream.go
@@ -0,0 +1,107 @@
+package eventstream
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	readBytes = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+// ErrTooLarge is returned for an event above one mebibyte.
+var ErrTooLarge = errors.New("an event of the stream is too large")
+
+// Event is one event as it came, with the empty line that ends it.
+type Event struct {
+	// Data is valid until the next call of Next.
+	Data []byte
+	// ID is the event's identifier, empty if it has none.
+	ID string
+}
+
+// Reader reads events. It must not be used by several goroutines at once.
+type Reader struct {
+	source io.Reader
+	buffer []byte
+	// start and end delimit the bytes that were read and not returned.
+	start, end int
+	err        error
+}
+
+// New returns a reader of the source.
+func New(source io.Reader) *Reader {
+	return &Reader{source: source, buffer: make([]byte, readBytes)}
+}
+
+// Next returns the next whole event. At the end of the source it returns the
+// source's error, with what follows the last event as an event's data.
+func (r *Reader) Next() (Event, error) {
+	for {
+		if n := eventLength(r.buffer[r.start:r.end]); n > 0 {
+			data := r.buffer[r.start : r.start+n]
+			r.start += n
+			return Event{Data: data, ID: identifier(data)}, nil
+		}
+		if r.err != nil {
+			rest := r.buffer[r.start:r.end]
+			r.start = r.end
+			return Event{Data: rest}, r.err
+		}
+		if err := r.fill(); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// Buffered reports whether another whole event has been read already.
+func (r *Reader) Buffered() bool { return eventLength(r.buffer[r.start:r.end]) > 0 }
+
+func (r *Reader) fill() error {
+	if r.start > 0 {
+		copy(r.buffer, r.buffer[r.start:r.end])
+		r.end -= r.start
+		r.start = 0
+	}
+	if r.end == len(r.buffer) {
+		if len(r.buffer) >= maxEventBytes {
+			return ErrTooLarge
+		}
+		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
+	}
+	n, err := r.source.Read(r.buffer[r.end:])
+	r.end += n
+	r.err = err
+	return nil
+}
+
+// eventLength returns the length of the first event with its empty line, 0 if
+// it is not whole.
+func eventLength(data []byte) int {
+	for at := 0; at < len(data); {
+		line := bytes.IndexByte(data[at:], '\n')
+		if line < 0 {
+			return 0
+		}
+		if len(bytes.TrimRight(data[at:at+line], "\r")) == 0 {
+			return at + line + 1
+		}
+		at += line + 1
+	}
+	return 0
+}
+
+func identifier(event []byte) string {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
+		}
+		event = rest
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/request/forwarding/attempt.go
@@ -0,0 +1,171 @@
+package forwarding
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/selection"
+)
+
+// outcome tells what became of a send to an upstream.
+type outcome int
+
+const (
+	// answered: the upstream ran the request and answered.
+	answered outcome = iota
+	// unsent: the request reached no connection.
+	unsent
+	// misaddressed: another upstream has the address; it did not run the request.
+	misaddressed
+	// declined: the upstream states that it did not run the request.
+	declined
+	// lost: the request was sent and may have run; there is no answer.
+	lost
+)
+
+func (o outcome) String() string {
+	return [...]string{"answered", "unsent", "misaddressed", "declined", "lost"}[o]
+}
+
+// maxUnsent bounds the upstreams that are tried without a send.
+const maxUnsent = 4
+
+// mayTry reports whether the request may be sent to another upstream.
+func (c *call) mayTry(ctx context.Context) bool {
+	if ctx.Err() != nil || c.unsent >= maxUnsent {
+		return false
+	}
+	if c.sends == 0 {
+		return true
+	}
+	return c.sends < c.route.MaxAttempts && c.Budget.Repeat(c.service.Name, c.Clock())
+}
+
+// note counts the send by what became of it.
+func (c *call) note(o outcome) {
+	switch o {
+	case unsent, misaddressed:
+		c.unsent++
+	case declined:
+		c.sends++
+	case lost, answered:
+		c.sends++
+		c.mayHaveRun = true
+	}
+}
+
+// callerLeft reports whether the caller has closed its connection.
+func (c *call) callerLeft() bool { return c.r.Context().Err() != nil }
+
+// place chooses an upstream and records the work there; the function done must
+// be called when the work has ended.
+func (c *call) place(now time.Time) (v directory.View, done func(), ok bool) {
+	request := selection.Request{
+		DataCentre: c.DataCentre, Tokens: c.promptTokens, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
+	}
+	tokens := c.promptTokens + c.outputTokens
+	views := c.Directory.Service(c.service.Name, now)
+	for range views {
+		v, ok := selection.Choose(views, request, rand.Float64)
+		if !ok {
+			return directory.View{}, nil, false
+		}
+		c.tried[v.ID] = true
+		if c.Directory.Begin(v.ID, tokens, now) {
+			return v, func() { c.Directory.End(v.ID, tokens) }, true
+		}
+	}
+	return directory.View{}, nil, false
+}
+
+// send sends the request to the upstream and tells what became of it. The
+// answer is nil unless the outcome is answered.
+func (c *call) send(ctx context.Context, v directory.View, request *exchange.Request) (*exchange.Answer, outcome, error) {
+	answer, err := c.Pool.Send(ctx, v.Address, request)
+	result := c.judge(answer, err)
+	now := c.Clock()
+	switch result {
+	case unsent:
+		c.Directory.Unreachable(v.ID, now)
+	case misaddressed:
+		c.Directory.Misaddressed(v.ID, now)
+		c.Pool.Forget(v.Address)
+	case declined:
+		c.Directory.Outcome(v.ID, true, now)
+	case lost:
+		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errTimeout) {
+			c.Directory.Outcome(v.ID, true, now)
+		}
+	case answered:
+	}
+	if result != answered {
+		c.logAttempt(v, result, answer, err)
+		if answer != nil {
+			finish(answer)
+			answer = nil
+		}
+	}
+	return answer, result, err
+}
+
+func (c *call) judge(answer *exchange.Answer, err error) outcome {
+	var failure *exchange.Failure
+	switch {
+	case errors.As(err, &failure) && !failure.Sent:
+		return unsent
+	case err != nil:
+		return lost
+	case answer.Status == http.StatusMisdirectedRequest:
+		return misaddressed
+	case answer.Header.Get(c.Names.NotRun) != "":
+		return declined
+	case isSuccess(answer.Status) && answer.Header.Get(c.Names.Seal) == "":
+		return lost
+	case promisesNotRun(answer.Status):
+		// Without the upstream's word, the caller must not take the status for it.
+		return lost
+	default:
+		return answered
+	}
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// promisesNotRun reports whether callers take the status as the word that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxSmallBody bounds the body of an answer that is not passed on.
+const maxSmallBody = 64 << 10
+
+// finish reads an answer that is not passed on, so that its connection can be
+// kept.
+func finish(a *exchange.Answer) {
+	_, _ = a.Body(maxSmallBody)
+	a.Close()
+}
+
+func (c *call) logAttempt(v directory.View, o outcome, answer *exchange.Answer, err error) {
+	status := 0
+	if answer != nil {
+		status = answer.Status
+	}
+	c.Metrics.attemptFailed(o)
+	c.Log.Emit(eventlog.AttemptFailed).Str("request_id", c.id).Str("upstream", v.ID).Str("service", v.Service).
+		Str("outcome", o.String()).Int("status", status).Int("calls", v.Calls).
+		Bool("reported", v.Reported).Dur("report_age", v.ReportAge).Err(err).Send()
+}
--- /dev/null
+++ b/internal/request/forwarding/metrics.go
@@ -0,0 +1,46 @@
+package forwarding
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingohold/flamingohold/internal/version/route"
+)
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.8, 18)
+
+// Metrics counts what becomes of requests.
+type Metrics struct{ scope tally.Scope }
+
+// NewMetrics returns metrics in the scope.
+func NewMetrics(scope tally.Scope) *Metrics { return &Metrics{scope: scope.SubScope("forward")} }
+
+func (m *Metrics) answered(k route.Kind, status int, took time.Duration) {
+	tags := map[string]string{"kind": k.String(), "status": strconv.Itoa(status)}
+	scope := m.scope.Tagged(tags)
+	scope.Counter("answered").Inc(1)
+	scope.Histogram("latency", latencyBuckets).RecordDuration(took)
+}
+
+func (m *Metrics) firstEvent(took time.Duration) {
+	m.scope.Histogram("first_event", latencyBuckets).RecordDuration(took)
+}
+
+func (m *Metrics) refused(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("refused").Inc(1)
+}
+
+func (m *Metrics) attemptFailed(o outcome) {
+	m.scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts_failed").Inc(1)
+}
+
+func (m *Metrics) abandoned() { m.scope.Counter("abandoned").Inc(1) }
+
+func (m *Metrics) broken() { m.scope.Counter("broken").Inc(1) }
+
+func (m *Metrics) resumed(moved bool) {
+	m.scope.Tagged(map[string]string{"moved": strconv.FormatBool(moved)}).Counter("resumed").Inc(1)
+}
--- /dev/null
+++ b/internal/request/forwarding/plain.go
@@ -0,0 +1,118 @@
+package forwarding
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/request/headers"
+	"github.com/flamingohold/flamingohold/internal/version/route"
+)
+
+// maxPlainBody bounds the answer to a plain request in bytes. It is held whole
+// before the caller gets any of it, so that a part never looks like the whole.
+const maxPlainBody = 8 << 20
+
+// plainAnswer is a whole answer of an upstream.
+type plainAnswer struct {
+	status   int
+	header   http.Header
+	body     []byte
+	upstream directory.View
+}
+
+// servePlain serves a request with one whole answer.
+func (c *call) servePlain(ctx context.Context) {
+	var failure *plainAnswer
+	for c.mayTry(ctx) {
+		v, done, ok := c.place(c.Clock())
+		if !ok {
+			break
+		}
+		answer, result, err := c.attemptPlain(ctx, v)
+		done()
+		if c.callerLeft() {
+			c.abandoned(v)
+			return
+		}
+		c.note(result)
+		switch {
+		case result == answered && !c.shouldRepeat(answer):
+			c.deliver(answer)
+			return
+		case result == answered:
+			failure = answer
+		case result == lost && !c.route.MayRepeat():
+			c.refuse(c.outcomeUnknown(v, err))
+			return
+		}
+	}
+	c.giveUp(ctx, failure)
+}
+
+// giveUp ends a request without a successful answer: with the failure that an
+// upstream answered, if any.
+func (c *call) giveUp(ctx context.Context, failure *plainAnswer) {
+	switch {
+	case failure != nil:
+		c.deliver(failure)
+	case c.mayHaveRun && ctx.Err() != nil:
+		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+	case c.mayHaveRun:
+		c.refuse(refusal{status: http.StatusBadGateway, reason: "no_answer"})
+	case ctx.Err() != nil:
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout_not_run", retryAfter: busyRetryAfter})
+	default:
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", retryAfter: busyRetryAfter})
+	}
+}
+
+// shouldRepeat reports whether another upstream may answer better.
+func (c *call) shouldRepeat(a *plainAnswer) bool {
+	return c.route.Kind == route.Idempotent && a.status >= http.StatusInternalServerError && c.sends < c.route.MaxAttempts
+}
+
+func (c *call) attemptPlain(ctx context.Context, v directory.View) (*plainAnswer, outcome, error) {
+	now := c.Clock()
+	answer, result, err := c.send(ctx, v, c.request(v, now))
+	if result != answered {
+		return nil, result, err
+	}
+	defer answer.Close()
+	body, err := answer.Body(maxPlainBody)
+	if err != nil {
+		c.Directory.Outcome(v.ID, true, c.Clock())
+		c.logAttempt(v, lost, answer, err)
+		return nil, lost, err
+	}
+	c.Directory.Outcome(v.ID, answer.Status >= http.StatusInternalServerError, c.Clock())
+	return &plainAnswer{status: answer.Status, header: headers.EndToEnd(answer.Header), body: body, upstream: v}, answered, nil
+}
+
+// deliver passes the answer on to the caller.
+func (c *call) deliver(a *plainAnswer) {
+	copyHeader(c.w.Header(), a.header)
+	if c.r.Method != http.MethodHead && a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	c.w.WriteHeader(a.status)
+	_, err := c.w.Write(a.body)
+	c.answered(a.upstream, a.status, 0, err)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// outcomeUnknown returns the refusal of a request that may have run.
+func (c *call) outcomeUnknown(v directory.View, err error) refusal {
+	if errors.Is(err, errTimeout) {
+		return refusal{status: http.StatusGatewayTimeout, reason: "timeout", upstream: v.ID, err: err}
+	}
+	return refusal{status: http.StatusBadGateway, reason: "outcome_unknown", upstream: v.ID, err: err}
+}
--- /dev/null
+++ b/internal/version/route/doc.go
@@ -0,0 +1,2 @@
+// Package route describes how requests of one path are served.
+package route
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -127,7 +127,8 @@
 	return fmt.Sprintf("%s at step %q with peer %q: %s", p.Type, p.Step, p.Peer, p.Detail)
 }
 
-// Write sends the problem as the whole response.
+// Write sends the problem as the whole response. A Retry-After header that is
+// set already stays, as it may be finer than whole seconds.
 func (p Problem) Write(w http.ResponseWriter) error {
 	body, err := json.Marshal(p)
 	if err != nil {
@@ -136,7 +137,7 @@
 	h := w.Header()
 	h.Set("Content-Type", MediaType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if p.Retryable {
+	if p.Retryable && h.Get("Retry-After") == "" {
 		h.Set("Retry-After", strconv.Itoa(max(1, p.RetryAfterSeconds)))
 	}
 	w.WriteHeader(p.Status)
