Never end a stream properly after its request's context has ended

When a stopping router ran out of its notice, the listener ended the requests' contexts before it closed their sockets; the handler took the caller for gone and returned, and the library wrote the last chunk, so that the caller took the part for the whole. Change: a stream that has begun and is not complete always aborts its connection.

--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -191,18 +191,18 @@
 	result, err := m.copyOnce(ctx, order, finalTimeout)
 	switch {
 	case err == nil:
-		r.setHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events, Source: source})
+		r.SetHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events, Source: source})
 		m.log.Emit(eventlog.GenerationMoved).Str("request_id", r.requestID).Str("from", source.ID).Str("to", target.ID).
 			Int("events", result.Events).Dur("pause", m.clock().Sub(began)).Send()
 		return nil
 	case errors.Is(err, ErrNoRoom) && result.Handle != "":
 		// The run has stopped; its memory is at the source.
-		r.setHandoff(Handoff{Target: source, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events})
+		r.SetHandoff(Handoff{Target: source, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events})
 	case errors.Is(err, ErrNoSuchRun):
 		r.clearHandoff()
 	default:
 		// The order may have been carried out: the copy holds nearly all.
-		r.setHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle), Source: source})
+		r.SetHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle), Source: source})
 	}
 	m.failed(r, source, target, "final_copy", err)
 	return err
@@ -225,7 +225,7 @@
 		}
 		copies++
 		handle = result.Handle
-		r.setHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle)})
+		r.SetHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle)})
 		if m.clock().Sub(began) < quickCopy {
 			return handle, nil
 		}
--- a/internal/process/relocation/run.go
+++ b/internal/process/relocation/run.go
@@ -111,7 +111,8 @@
 	close(r.settled)
 }
 
-func (r *Run) setHandoff(h Handoff) {
+// SetHandoff sets where the run goes on if its stream ends early.
+func (r *Run) SetHandoff(h Handoff) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.handoff = &h
--- /dev/null
+++ b/internal/request/forwarding/harness_test.go
@@ -0,0 +1,197 @@
+package forwarding
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/connection/listener"
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/repeatbudget"
+	"github.com/flamingohold/flamingohold/internal/request/headers"
+	"github.com/flamingohold/flamingohold/internal/version/route"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+const (
+	testHost = "orders.example"
+	testKey  = "key-1"
+	testID   = "request-1"
+)
+
+var testNames = headers.Names{
+	RequestID: "Request-Id", Deadline: "Time-Left-Ms", Account: "Account", ExpectUpstream: "Expect-Upstream",
+	NotRun: "Not-Run", Seal: "Seal", TokenCounts: "Tokens", LengthHint: "Length-Hint", PromptParts: "Prompt-Parts",
+	LastEventID: "Last-Event-Id", CopiedFrom: "Copied-From", Backup: "Backup", Reserved: []string{"Reserved"},
+}
+
+// harness is a router with upstreams that the test scripts.
+type harness struct {
+	t         *testing.T
+	directory *directory.Directory
+	forwarder *Forwarder
+	relocator *scriptedRelocator
+	listener  *listener.Listener
+	table     *routetable.Table
+}
+
+// scriptedRelocator hands the runs to the test.
+type scriptedRelocator struct {
+	mu   sync.Mutex
+	runs []*relocation.Run
+	// begun is told of each run.
+	begun func(*relocation.Run)
+}
+
+func (s *scriptedRelocator) Begin(_ context.Context, r *relocation.Run) {
+	s.mu.Lock()
+	s.runs = append(s.runs, r)
+	begun := s.begun
+	s.mu.Unlock()
+	if begun != nil {
+		begun(r)
+	}
+}
+func (s *scriptedRelocator) Moved(context.Context, *relocation.Run, directory.View) {}
+func (s *scriptedRelocator) End(*relocation.Run)                                    {}
+
+func testRoutes() []route.Route {
+	shares := []route.Share{{Service: "desk", Weight: 1}}
+	base := route.Route{Host: testHost, Shares: shares, Timeout: 2 * time.Second, LatencyTarget: 100 * time.Millisecond}
+	with := func(name string, kind route.Kind, attempts int, resumable bool) route.Route {
+		r := base
+		r.Name, r.PathPrefix, r.Kind, r.MaxAttempts, r.Resumable = name, "/"+name+"/", kind, attempts, resumable
+		return r
+	}
+	brief := with("brief", route.NonIdempotent, 1, false)
+	brief.Timeout = 150 * time.Millisecond
+	open := with("open", route.Idempotent, 2, false)
+	open.Public = true
+	return []route.Route{
+		with("look", route.Idempotent, 2, false),
+		with("order", route.NonIdempotent, 2, false),
+		with("draft", route.Streaming, 1, false),
+		with("match", route.Streaming, 2, true),
+		brief, open,
+	}
+}
+
+func newHarness(t *testing.T, upstreams ...http.HandlerFunc) *harness {
+	t.Helper()
+	h := &harness{t: t, relocator: &scriptedRelocator{}}
+	h.table = routetable.New(routetable.Content{
+		Version: 1, Routes: testRoutes(), Services: []routetable.Service{{Name: "desk"}},
+		AccountKeys: map[string]routetable.Account{testKey: {Name: "bakery"}},
+	})
+	h.directory = directory.New(eventlog.Discard(), func(string) float64 { return 0 })
+	for i, handler := range upstreams {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		h.list(i, strings.TrimPrefix(server.URL, "http://"))
+	}
+	h.forwarder = New(Options{
+		Names: testNames, DataCentre: "dc-1", Table: func() *routetable.Table { return h.table }, Directory: h.directory,
+		Pool:      exchange.New(exchange.Options{DialTimeout: time.Second}, time.Now),
+		Budget:    repeatbudget.New(repeatbudget.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
+		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
+		Metrics: NewMetrics(tally.NoopScope), Process: t.Context(),
+	})
+	l, err := listener.New(listener.Options{Address: "127.0.0.1:0"}, h.forwarder)
+	require.NoError(t, err)
+	h.listener = l
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = l.Shutdown(ended)
+	})
+	return h
+}
+
+// list adds an upstream. Earlier ones are preferred, as they are in the
+// router's data centre.
+func (h *harness) list(i int, address string) {
+	centre := fmt.Sprintf("dc-%d", i+1)
+	h.directory.List(directory.Entry{
+		ID: fmt.Sprintf("u-%d", i+1), Service: "desk", Address: address, DataCentre: centre, Slots: 100, Born: 1,
+	}, time.Now())
+}
+
+// request returns a caller's request.
+func (h *harness) request(method, path string, body string) *http.Request {
+	h.t.Helper()
+	r, err := http.NewRequestWithContext(h.t.Context(), method, "http://"+h.listener.Address()+path, strings.NewReader(body))
+	require.NoError(h.t, err)
+	r.Host = testHost
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set(testNames.RequestID, testID)
+	r.Header.Set(testNames.Deadline, "1500")
+	return r
+}
+
+func (h *harness) do(r *http.Request) *http.Response {
+	h.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(r)
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// seal marks an answer as an upstream's own.
+func seal(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testNames.Seal, "seal-of-"+r.Header.Get(testNames.ExpectUpstream))
+	w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+}
+
+// answerWith returns an upstream that answers with the status and body.
+func answerWith(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		seal(w, r)
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// cutConnection closes the connection of the request without an answer.
+func cutConnection(w http.ResponseWriter, reset bool) {
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
+func event(number int) string { return fmt.Sprintf("id: %d\ndata: token-%d\n\n", number, number) }
+
+// streamEvents returns an upstream that sends the events and then ends its
+// stream properly, or cuts it off.
+func streamEvents(first, last int, cut bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		seal(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := first; n <= last; n++ {
+			_, _ = w.Write([]byte(event(n)))
+			w.(http.Flusher).Flush()
+		}
+		if cut {
+			_, _ = w.Write([]byte("id: 99\nda"))
+			w.(http.Flusher).Flush()
+			cutConnection(w, false)
+		}
+	}
+}
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -78,7 +78,7 @@
 	answer, result, err := s.send(ctx, v, request)
 	if s.callerLeft() {
 		s.closeAnswer(answer)
-		s.abandoned(v)
+		s.leave(v)
 		return true
 	}
 	s.note(result)
@@ -158,7 +158,7 @@
 		s.finish(v)
 		return true
 	case end == callerGone || s.callerLeft():
-		s.abandoned(v)
+		s.leave(v)
 		return true
 	}
 	if h, ok := s.run.Continue(ctx); ok {
@@ -181,7 +181,7 @@
 	}
 	if s.callerLeft() {
 		s.closeAnswer(answer)
-		s.abandoned(at)
+		s.leave(at)
 		return true
 	}
 	if err != nil {
@@ -312,6 +312,16 @@
 		Dur("longest_gap", s.longestGap).Dur("took", took).Int64("table_version", s.table.Version()).Send()
 }
 
+// leave ends a request whose caller has gone. A stream that has begun must not
+// be ended properly all the same: the caller may be there after all, as when the
+// process ends its requests before it closes their connections.
+func (s *stream) leave(v directory.View) {
+	s.abandoned(v)
+	if s.started {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // giveUp ends a request that no upstream completed.
 func (s *stream) giveUp(ctx context.Context) {
 	if s.started {
--- /dev/null
+++ b/internal/request/forwarding/streaming_test.go
@@ -0,0 +1,107 @@
+package forwarding
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/relocation"
+)
+
+// Guards against a stream that is ended as complete because the process ended
+// the request's context before it closed the connection: the caller took a part
+// for the whole when a stopping router ran out of time.
+func TestStreamOfAnEndedRequestDoesNotLookWhole(t *testing.T) {
+	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		streamEvents(1, 2, false)(w, r)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	request := h.request(http.MethodPost, "/draft/x", "").WithContext(ctx)
+	request.RequestURI = "/draft/x"
+	time.AfterFunc(100*time.Millisecond, cancel)
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() {
+		h.forwarder.ServeHTTP(httptest.NewRecorder(), request)
+	})
+}
+
+// Guards against events that are lost, changed or sent twice on the way.
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	h := newHarness(t, streamEvents(1, 50, false))
+	response := h.do(h.request(http.MethodPost, "/draft/x", "prompt"))
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, events(1, 50), string(body))
+	require.Equal(t, "seal-of-u-1", response.Header.Get(testNames.Seal))
+}
+
+func events(first, last int) string {
+	all := ""
+	for n := first; n <= last; n++ {
+		all += event(n)
+	}
+	return all
+}
+
+// Guards against a stream that was cut off and looks whole, and against a part
+// of an event that reaches the caller.
+func TestCutStreamIsNotEndedProperly(t *testing.T) {
+	h := newHarness(t, streamEvents(1, 3, true))
+	response := h.do(h.request(http.MethodPost, "/draft/x", ""))
+	body, err := io.ReadAll(response.Body)
+	require.Error(t, err)
+	require.Equal(t, events(1, 3), string(body))
+}
+
+// Guards against a resumable stream that is not resumed after its upstream
+// failed, and against events that come twice where the resumed stream overlaps.
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	asked := make(chan string, 1)
+	h := newHarness(t, streamEvents(1, 3, true), func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.Header.Get(testNames.LastEventID)
+		streamEvents(3, 6, false)(w, r)
+	})
+	response := h.do(h.request(http.MethodPost, "/match/x", ""))
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, events(1, 6), string(body))
+	require.Equal(t, "3", <-asked)
+	require.Equal(t, "seal-of-u-1", response.Header.Get(testNames.Seal), "the header is that of the first upstream")
+}
+
+// Guards against a second run of a stream that may not be resumed.
+func TestStreamThatMayNotBeResumedRunsOnce(t *testing.T) {
+	second := 0
+	h := newHarness(t, streamEvents(1, 3, true), func(http.ResponseWriter, *http.Request) { second++ })
+	response := h.do(h.request(http.MethodPost, "/draft/x", ""))
+	_, err := io.ReadAll(response.Body)
+	require.Error(t, err)
+	require.Zero(t, second)
+}
+
+// Guards against a moved run that does not go on from its copy: the caller must
+// get one whole stream over both upstreams.
+func TestMovedStreamGoesOnFromItsCopy(t *testing.T) {
+	type continued struct{ from, last string }
+	asked := make(chan continued, 1)
+	h := newHarness(t, streamEvents(1, 4, true), func(w http.ResponseWriter, r *http.Request) {
+		asked <- continued{r.Header.Get(testNames.CopiedFrom), r.Header.Get(testNames.LastEventID)}
+		streamEvents(5, 9, false)(w, r)
+	})
+	target, ok := h.directory.Upstream("u-2", time.Now())
+	require.True(t, ok)
+	h.relocator.begun = func(r *relocation.Run) {
+		r.SetHandoff(relocation.Handoff{Target: target, From: "10.0.0.1:1/handle"})
+	}
+	response := h.do(h.request(http.MethodPost, "/draft/x", ""))
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, events(1, 9), string(body))
+	require.Equal(t, continued{"10.0.0.1:1/handle", "4"}, <-asked)
+}
