Report on upstreams from their own machines and let copies take turns

Change: a reporter on each side machine reads the upstream's report every 40 ms and streams it to the routers; it gives turns for copies over the link, and targets whose link is in use are avoided; a waiting prompt counts as a quarter of an upstream.

--- a/cmd/flamingohold/commands.go
+++ b/cmd/flamingohold/commands.go
@@ -30,6 +30,7 @@
 		p.processCommand("gateway", "Serve callers.", newGateway),
 		p.processCommand("sidecar", "Serve beside an upstream.", newSidecar),
 		p.machineCommand("router", "Serve callers before upstreams that are reached directly.", newRouter),
+		p.machineCommand("reporter", "Report on the upstream of the same machine.", newReporter),
 		p.checkCommand(),
 		p.collectCommand(),
 		p.statusCommand(),
--- a/cmd/flamingohold/machine.go
+++ b/cmd/flamingohold/machine.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/machine"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/reporter"
 	"github.com/flamingohold/flamingohold/internal/process/router"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
@@ -84,3 +85,8 @@
 		Engines:  func(pool *exchange.Pool) relocation.Engines { return platform.NewEngines(pool) },
 	}, log, t)
 }
+
+func newReporter(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
+	upstream := func(pool *exchange.Pool) reporter.Upstream { return platform.NewEngines(pool) }
+	return reporter.New(s, upstream, log, t)
+}
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -10,8 +10,12 @@
 const keepGone = 60 * time.Second
 
 func (u *upstream) isLeaving(now time.Time) bool {
-	gone := !u.goneAt.IsZero() && !now.Before(u.goneAt)
-	return gone || u.leaving || u.entry.Leaving
+	return u.isGone(now) || u.leaving || u.entry.Leaving
+}
+
+// isGone reports whether the list no longer names the upstream.
+func (u *upstream) isGone(now time.Time) bool {
+	return !u.goneAt.IsZero() && !now.Before(u.goneAt)
 }
 
 // expired reports whether the upstream can be forgotten.
@@ -69,12 +73,14 @@
 		Cold:        u.isCold(coldRate, now),
 		Leaving:     u.isLeaving(now),
 		LeavesAt:    u.leavesAt,
+		Gone:        u.isGone(now),
 	}
 	v.Blocked = v.Cold && u.refillCold(coldRate, now) < 1
 	if !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < reportLifetime {
 		v.Reported = true
 		v.ReportAge = now.Sub(u.reportedAt)
-		v.Running = u.report.Running + u.report.Waiting + u.sinceCalls
+		v.Running = u.report.Running
+		v.Waiting = u.report.Waiting + u.sinceCalls
 		v.MemoryUsed = u.report.MemoryUsed + u.sinceTokens
 		v.MemoryTotal = u.report.MemoryTotal
 	}
--- a/internal/process/directory/view.go
+++ b/internal/process/directory/view.go
@@ -13,11 +13,15 @@
 	// Calls and Tokens are the work that this process has there.
 	Calls  int
 	Tokens int
-	// Reported is true if the upstream's own report is recent. Running and
-	// MemoryUsed then hold the work of all processes, that begun since included.
+	// Reported is true if the upstream's own report is recent. Running,
+	// Waiting and MemoryUsed then hold the work of all processes, that begun
+	// since by this process included.
 	Reported    bool
 	ReportAge   time.Duration
+	// Running counts the generations under way, Waiting those whose prompt is
+	// still to be read.
 	Running     int
+	Waiting     int
 	MemoryUsed  int
 	MemoryTotal int
 	// FailureRate is the share of recent calls that failed, from 0 to 1.
@@ -30,4 +34,6 @@
 	// unknown.
 	Leaving  bool
 	LeavesAt time.Time
+	// Gone upstreams are no longer on the list.
+	Gone bool
 }
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -92,9 +92,17 @@
 	ReportsRegained = Event{
 		6023, "reports_regained", zerolog.InfoLevel, "The reporter beside an upstream answers.", "none",
 	}
-	MoveGranted = Event{
-		6024, "move_granted", zerolog.InfoLevel,
-		"A reporter lets a router copy a generation over the upstream's link.", "none",
+	TurnDecided = Event{
+		6024, "turn_decided", zerolog.InfoLevel,
+		"A reporter has decided on a turn for a copy over the upstream's link.", "none",
+	}
+	UpstreamReported = Event{
+		6027, "upstream_reported", zerolog.InfoLevel,
+		"The upstream beside this reporter has started, leaves, is gone or answers again.", "none",
+	}
+	TurnNotGranted = Event{
+		6028, "turn_not_granted", zerolog.InfoLevel,
+		"A reporter gave no turn for a copy in time; the copy begins without one.", "none",
 	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
@@ -112,7 +120,7 @@
 		UpstreamListed, UpstreamLeaving, UpstreamGone, DataCentreEvacuated, DataCentreRestored,
 		CallAnswered, CallRefused, CallBroken, CallAbandoned, AttemptFailed,
 		GenerationMoved, GenerationMoveFailed, PeerFound, PeerLost, LogLinesDropped,
-		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, MoveGranted,
-		HandlerPanicked, ShutdownIncomplete,
+		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, TurnDecided,
+		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
 	}
 }
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	maxCopies = 6
 	// maxTargets bounds the upstreams that are tried as target.
 	maxTargets = 4
+	// maxAsked bounds the upstreams that are asked whether their link is free.
+	maxAsked = 5
 	// retryPause is the time before a step that may soon succeed is tried again.
 	retryPause = 20 * time.Millisecond
 	// moveTimeout bounds a whole move.
@@ -38,8 +41,11 @@
 
 // Turns lets the runs of one upstream be copied one after another.
 type Turns interface {
-	// Acquire waits for the turn. The release must be called in any case.
-	Acquire(ctx context.Context, source directory.View, requestID string) (release func())
+	// Acquire waits for the turn; the run of the highest worth comes first. The
+	// release must be called in any case.
+	Acquire(ctx context.Context, source directory.View, requestID string, worth float64) (release func())
+	// TryAcquire takes the turn at the target if it is free.
+	TryAcquire(ctx context.Context, target directory.View, requestID string) (release func(), ok bool)
 }
 
 // Relocator moves the runs of one process.
@@ -148,31 +154,50 @@
 	defer r.endMove()
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	if !r.awaitStart(ctx) {
+		return
+	}
 	source := r.Source()
-	release := m.turns.Acquire(ctx, source, r.requestID)
+	release := m.turns.Acquire(ctx, source, r.requestID, r.worth())
 	defer release()
 	tried := map[string]bool{source.ID: true}
 	for range maxTargets {
-		target, ok := m.target(r, source, tried)
+		target, releaseTarget, ok := m.target(ctx, r, source, tried)
 		if !ok {
 			m.failed(r, source, directory.View{}, "choose_target", errors.New("no upstream has room"))
 			return
 		}
 		tried[target.ID] = true
 		err := m.moveTo(ctx, r, source, target)
-		if err == nil || r.isEnded() || ctx.Err() != nil || !errors.Is(err, ErrNoRoom) {
+		releaseTarget()
+		if err == nil || r.isOver() || ctx.Err() != nil || !errors.Is(err, ErrNoRoom) {
 			return
 		}
 	}
 }
 
-func (m *Relocator) target(r *Run, source directory.View, tried map[string]bool) (directory.View, bool) {
+// target chooses an upstream whose link is free, or the best one if none is.
+func (m *Relocator) target(ctx context.Context, r *Run, source directory.View, tried map[string]bool) (directory.View, func(), bool) {
 	views := m.directory.Service(r.service, m.clock())
 	request := selection.Request{
 		DataCentre: source.DataCentre, Tokens: r.promptTokens, MemoryTokens: m.memory(r.service),
-		Exclude: tried, StayPenalty: moveStayPenalty,
+		Exclude: maps.Clone(tried), StayPenalty: moveStayPenalty,
+	}
+	var best directory.View
+	for asked := range maxAsked {
+		v, ok := selection.Choose(views, request, m.draw)
+		if !ok {
+			break
+		}
+		if asked == 0 {
+			best = v
+		}
+		if release, free := m.turns.TryAcquire(ctx, v, r.requestID); free {
+			return v, release, true
+		}
+		request.Exclude[v.ID] = true
 	}
-	return selection.Choose(views, request, m.draw)
+	return best, func() {}, best.ID != ""
 }
 
 // moveStayPenalty is the load that is accepted at the target for a copy within
@@ -215,7 +240,7 @@
 		began := m.clock()
 		result, err := m.copyOnce(ctx, order, copyTimeout)
 		switch {
-		case errors.Is(err, ErrBusy), errors.Is(err, ErrNoSuchRun) && r.Events() == 0:
+		case errors.Is(err, ErrBusy):
 			if err := m.pause(ctx, r); err != nil {
 				return "", err
 			}
@@ -242,7 +267,7 @@
 		return ctx.Err()
 	case <-timer.C:
 	}
-	if r.isEnded() {
+	if r.isOver() {
 		return ErrNoSuchRun
 	}
 	return nil
@@ -255,7 +280,7 @@
 }
 
 func (m *Relocator) failed(r *Run, source, target directory.View, step string, err error) {
-	if r.isEnded() || errors.Is(err, ErrNoSuchRun) {
+	if r.isOver() || errors.Is(err, ErrNoSuchRun) {
 		return
 	}
 	m.log.Emit(eventlog.GenerationMoveFailed).Str("request_id", r.requestID).Str("from", source.ID).
--- a/internal/process/relocation/run.go
+++ b/internal/process/relocation/run.go
@@ -31,7 +31,8 @@
 	source directory.View
 	// events counts the events that reached this process.
 	events int
-	ended  bool
+	// started is closed at the first event, over at the end of the run.
+	started, over chan struct{}
 	// moving is true while a move is under way; settled is closed when it ends.
 	moving  bool
 	settled chan struct{}
@@ -44,6 +45,7 @@
 	return &Run{
 		requestID: requestID, service: service, source: source,
 		promptTokens: promptTokens, outputTokens: outputTokens,
+		started: make(chan struct{}), over: make(chan struct{}),
 	}
 }
 
@@ -51,7 +53,9 @@
 func (r *Run) Event() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.events++
+	if r.events++; r.events == 1 {
+		close(r.started)
+	}
 }
 
 // Events returns the number of events that arrived.
@@ -96,7 +100,7 @@
 func (r *Run) beginMove() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.moving {
+	if r.isOver() || r.moving {
 		return false
 	}
 	r.moving = true
@@ -124,16 +128,48 @@
 	r.handoff = nil
 }
 
-func (r *Run) isEnded() bool {
+// isOver reports whether the run has ended.
+func (r *Run) isOver() bool {
+	select {
+	case <-r.over:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Run) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ended
+	if !r.isOver() {
+		close(r.over)
+	}
 }
 
-func (r *Run) end() {
+// awaitStart waits for the first event, as only then there is something to
+// move. It returns false if the run ends without one.
+func (r *Run) awaitStart(ctx context.Context) bool {
+	select {
+	case <-r.started:
+		return !r.isOver()
+	case <-r.over:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// outputWorth is how much more a token of the output is worth than one of the
+// prompt, as callers wait for it.
+const outputWorth = 10
+
+// worth orders the runs that must leave an upstream: by what is lost with the
+// run for each token that must be copied.
+func (r *Run) worth() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ended = true
+	output := max(r.outputTokens, 1)
+	return float64(r.promptTokens+outputWorth*output) / float64(max(1, r.promptTokens))
 }
 
 func (r *Run) setSource(v directory.View) {
--- /dev/null
+++ b/internal/process/reporter/message.go
@@ -0,0 +1,52 @@
+package reporter
+
+import (
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+)
+
+const (
+	// FeedPath is the path of the stream of reports, a JSON object a line.
+	FeedPath = "/v1/reports"
+	// AcquirePath waits for a turn, TryPath takes it only if it is free, and
+	// ReleasePath gives it back.
+	AcquirePath = "/v1/turns/acquire"
+	TryPath     = "/v1/turns/try"
+	ReleasePath = "/v1/turns/release"
+	// HeartbeatInterval is the longest time between two lines of the stream.
+	HeartbeatInterval = 500 * time.Millisecond
+)
+
+// Line is a report as it goes over the wire.
+type Line struct {
+	Born           int64 `json:"born"`
+	Leaving        bool  `json:"leaving,omitempty"`
+	LeavesInMillis int64 `json:"leaves_in_ms,omitempty"`
+	Waiting        int   `json:"waiting"`
+	Running        int   `json:"running"`
+	MemoryUsed     int   `json:"memory_used"`
+	MemoryTotal    int   `json:"memory_total"`
+	// Gone is true if the upstream does not answer its own machine.
+	Gone bool `json:"gone,omitempty"`
+}
+
+func lineOf(r directory.Report) Line {
+	return Line{
+		Born: r.Born, Leaving: r.Leaving, LeavesInMillis: r.LeavesIn.Milliseconds(),
+		Waiting: r.Waiting, Running: r.Running, MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal,
+	}
+}
+
+// Report returns the report that the line holds.
+func (l Line) Report() directory.Report {
+	return directory.Report{
+		Born: l.Born, Leaving: l.Leaving, LeavesIn: time.Duration(l.LeavesInMillis) * time.Millisecond,
+		Waiting: l.Waiting, Running: l.Running, MemoryUsed: l.MemoryUsed, MemoryTotal: l.MemoryTotal,
+	}
+}
+
+// urgent reports whether routers must know of the change at once.
+func (l Line) urgent(before Line) bool {
+	return l.Born != before.Born || l.Leaving != before.Leaving || l.Gone != before.Gone
+}
--- /dev/null
+++ b/internal/process/reporter/reporter.go
@@ -0,0 +1,247 @@
+package reporter
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/connection/listener"
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/machine"
+	"github.com/flamingohold/flamingohold/internal/process/telemetry"
+	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
+)
+
+const (
+	// pollInterval is the time between two reads of the upstream's report.
+	pollInterval = 40 * time.Millisecond
+	// paceInterval is the shortest time between two lines that are not urgent.
+	paceInterval = 200 * time.Millisecond
+	// callTimeout bounds a read of the report.
+	callTimeout = 400 * time.Millisecond
+	// goneAfter is the number of reads in a row that must fail before the
+	// upstream counts as gone.
+	goneAfter = 3
+	// turnTimeout bounds the wait for a turn.
+	turnTimeout = 3 * time.Second
+	// maxMessageBytes bounds a message.
+	maxMessageBytes = 4 << 10
+)
+
+// Upstream gives the report of the upstream on this machine.
+type Upstream interface {
+	Report(ctx context.Context, address string) (directory.Report, error)
+}
+
+// Reporter is one process.
+type Reporter struct {
+	settings  machine.Settings
+	upstream  Upstream
+	log       *eventlog.Log
+	telemetry *telemetry.Telemetry
+	clock     func() time.Time
+	turns     *turnqueue.Queue
+
+	mu sync.Mutex
+	// line is the last report, changed is closed and replaced with each new one
+	// that the routers are to have.
+	line    Line
+	known   bool
+	changed chan struct{}
+}
+
+// New returns a reporter that is not serving yet. The function upstream returns
+// a client over the pool.
+func New(s machine.Settings, upstream func(pool *exchange.Pool) Upstream, log *eventlog.Log, t *telemetry.Telemetry) (*Reporter, error) {
+	if s.UpstreamAddress == "" {
+		return nil, errors.New("a reporter needs the address of its upstream")
+	}
+	pool := exchange.New(exchange.Options{DialTimeout: callTimeout}, time.Now)
+	return &Reporter{
+		settings: s, upstream: upstream(pool), log: log, telemetry: t, clock: time.Now,
+		turns: turnqueue.New(), changed: make(chan struct{}),
+	}, nil
+}
+
+// Run serves until the context ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc(FeedPath, r.serveFeed)
+	mux.HandleFunc(AcquirePath, r.serveAcquire)
+	mux.HandleFunc(TryPath, r.serveTry)
+	mux.HandleFunc(ReleasePath, r.serveRelease)
+	feed, err := listener.New(listener.Options{Address: r.settings.ReporterAddress}, mux)
+	if err != nil {
+		return err
+	}
+	metrics, err := listener.New(listener.Options{Address: r.settings.MetricsAddress}, r.telemetry.MetricsHandler())
+	if err != nil {
+		return errors.CombineErrors(err, shutdown(feed))
+	}
+	r.log.Emit(eventlog.ProcessStarted).Str("role", "reporter").Str("address", feed.Address()).
+		Str("upstream", r.settings.UpstreamAddress).Send()
+	r.poll(ctx)
+	r.log.Emit(eventlog.ProcessStopped).Str("role", "reporter").Send()
+	return errors.CombineErrors(shutdown(feed), shutdown(metrics))
+}
+
+// shutdown closes the listener and its connections at once: a stream of reports
+// has no end to wait for.
+func shutdown(l *listener.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := l.Shutdown(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// poll reads the upstream's report until the context ends.
+func (r *Reporter) poll(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	failures := 0
+	published := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		report, err := r.upstream.Report(call, r.settings.UpstreamAddress)
+		cancel()
+		line := lineOf(report)
+		if err != nil {
+			if failures++; failures < goneAfter {
+				continue
+			}
+			line = r.last()
+			line.Gone = true
+		} else {
+			failures = 0
+		}
+		published = r.publish(line, published)
+	}
+}
+
+func (r *Reporter) last() Line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line
+}
+
+// publish takes over the line and wakes the streams if they are to have it now.
+// It returns when the streams were woken last.
+func (r *Reporter) publish(line Line, published time.Time) time.Time {
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	urgent := !r.known || line.urgent(r.line)
+	changed := line != r.line
+	r.line, r.known = line, true
+	if urgent {
+		r.log.Emit(eventlog.UpstreamReported).Int64("born", line.Born).Bool("leaving", line.Leaving).
+			Int64("leaves_in_ms", line.LeavesInMillis).Bool("gone", line.Gone).Int("running", line.Running).
+			Int("memory_used", line.MemoryUsed).Send()
+	}
+	if !urgent && (!changed || now.Sub(published) < paceInterval) {
+		return published
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return now
+}
+
+// current returns the last line, and a channel that is closed at the next one.
+func (r *Reporter) current() (Line, bool, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line, r.known, r.changed
+}
+
+// serveFeed streams the reports to a router.
+func (r *Reporter) serveFeed(w http.ResponseWriter, request *http.Request) {
+	flusher, ok := w.(http.Flusher)
+	if !ok {
+		http.Error(w, "the connection cannot stream", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	for {
+		line, known, changed := r.current()
+		if known {
+			if err := json.NewEncoder(w).Encode(line); err != nil {
+				return
+			}
+		}
+		flusher.Flush()
+		timer := time.NewTimer(HeartbeatInterval)
+		select {
+		case <-request.Context().Done():
+			timer.Stop()
+			return
+		case <-changed:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// decodeTurn reads a request about a turn; it answers one that cannot be read.
+func decodeTurn(w http.ResponseWriter, request *http.Request) (turnqueue.Request, bool) {
+	var turn turnqueue.Request
+	if err := json.NewDecoder(io.LimitReader(request.Body, maxMessageBytes)).Decode(&turn); err != nil {
+		http.Error(w, "the request about a turn cannot be decoded", http.StatusBadRequest)
+		return turnqueue.Request{}, false
+	}
+	return turn, true
+}
+
+// serveAcquire waits for a turn.
+func (r *Reporter) serveAcquire(w http.ResponseWriter, request *http.Request) {
+	turn, ok := decodeTurn(w, request)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), turnTimeout)
+	defer cancel()
+	granted := r.turns.Acquire(ctx, turn, r.clock())
+	if granted && request.Context().Err() != nil {
+		r.turns.Release(turn.ID, r.clock())
+		granted = false
+	}
+	r.answerTurn(w, turn, granted)
+}
+
+// serveTry takes a turn that is free.
+func (r *Reporter) serveTry(w http.ResponseWriter, request *http.Request) {
+	if turn, ok := decodeTurn(w, request); ok {
+		r.answerTurn(w, turn, r.turns.TryAcquire(turn, r.clock()))
+	}
+}
+
+func (r *Reporter) answerTurn(w http.ResponseWriter, turn turnqueue.Request, granted bool) {
+	r.log.Emit(eventlog.TurnDecided).Str("request_id", turn.ID).Bool("granted", granted).Float64("worth", turn.Worth).
+		Int("waiting", r.turns.Waiting()).Send()
+	if !granted {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveRelease ends a turn.
+func (r *Reporter) serveRelease(w http.ResponseWriter, request *http.Request) {
+	if turn, ok := decodeTurn(w, request); ok {
+		r.turns.Release(turn.ID, r.clock())
+		w.WriteHeader(http.StatusOK)
+	}
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/peers"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/repeatbudget"
+	"github.com/flamingohold/flamingohold/internal/process/reportfeed"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/request/forwarding"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
@@ -73,6 +74,7 @@
 	directory *directory.Directory
 	view      *fleetview.View
 	relocator *relocation.Relocator
+	feed      *reportfeed.Feed
 	budget    *repeatbudget.Budget
 	platform  Platform
 	stopping  atomic.Bool
@@ -92,8 +94,9 @@
 	r.follower = mirror.NewFollower(r.mirror, p.Store(r.pool), log, r.clock, storePace)
 	r.peers = peers.New(s.PeerAddress, s.Seeds, r.mirror, r.pool, log, r.clock)
 	r.budget = repeatbudget.New(repeatbudget.Bound{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, r.peers.Count)
+	r.feed = reportfeed.New(r.pool, r.directory, r.hasReporters, s.ReporterPort, log, r.clock)
 	r.relocator = relocation.New(relocation.Options{
-		Engines: p.Engines(r.pool), Directory: r.directory, Turns: relocation.NewLocalTurns(), Log: log,
+		Engines: p.Engines(r.pool), Directory: r.directory, Turns: r.feed, Log: log,
 		Clock: r.clock, Draw: rand.Float64, Memory: r.movableMemory,
 	})
 	return r, nil
@@ -112,6 +115,16 @@
 	return s.ColdPerSecond * coldShare / float64(max(fewestRouters, r.peers.Count()))
 }
 
+// hasReporters returns whether reporters stand beside upstreams of the service.
+func (r *Router) hasReporters(service string) bool {
+	t := r.view.Table()
+	if t == nil {
+		return false
+	}
+	s := t.Service(service)
+	return s != nil && s.Engine != nil
+}
+
 // movableMemory returns the memory of an engine of the service, 0 if its
 // generations cannot be moved.
 func (r *Router) movableMemory(service string) int {
@@ -136,7 +149,7 @@
 		return err
 	}
 	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){r.follower.Run, r.peers.Run, r.sweep} {
+	for _, loop := range []func(context.Context){r.follower.Run, r.peers.Run, r.feed.Run, r.sweep} {
 		running.Go(func() { loop(life) })
 	}
 	r.log.Emit(eventlog.ProcessStarted).Str("role", "router").Str("callers", callers.Address()).
--- a/internal/process/selection/selection.go
+++ b/internal/process/selection/selection.go
@@ -17,6 +17,9 @@
 	tolerableFailures = 0.2
 	// coldPenalty prefers warm upstreams.
 	coldPenalty = 0.5
+	// waitingLoad is the load of a prompt that is still to be read: it delays both
+	// the next prompt and all generations under way.
+	waitingLoad = 0.25
 	// unreportedShare is the load that one call of this process stands for, as a
 	// share of an upstream's slots, if the upstream has not reported.
 	unreportedShare = 4.0
@@ -106,11 +109,11 @@
 		}
 		return load
 	}
-	load := float64(v.Running) / slots
+	load := float64(v.Running+v.Waiting) / slots
 	if total := max(v.MemoryTotal, memoryTokens); total > 0 {
 		load = max(load, float64(v.MemoryUsed)/float64(total))
 	}
-	return load
+	return load + waitingLoad*float64(v.Waiting)
 }
 
 // HasRoom reports whether the request fits into the upstream's memory and slots
@@ -120,5 +123,5 @@
 		return true
 	}
 	total := max(v.MemoryTotal, r.MemoryTokens)
-	return v.Running < v.Slots && (total == 0 || v.MemoryUsed+r.Tokens <= total)
+	return v.Running+v.Waiting < v.Slots && (total == 0 || v.MemoryUsed+r.Tokens <= total)
 }
