--- a/internal/process/directory/view.go
+++ b/internal/process/directory/view.go
@@ -16,8 +16,8 @@
 	// Reported is true if the upstream's own report is recent. Running,
 	// Waiting and MemoryUsed then hold the work of all processes, that begun
 	// since by this process included.
-	Reported    bool
-	ReportAge   time.Duration
+	Reported  bool
+	ReportAge time.Duration
 	// Running counts the generations under way, Waiting those whose prompt is
 	// still to be read.
 	Running     int
