Reload settings at SIGHUP; let two routers read the store for all

Change: a reloader takes over changed settings at SIGHUP and within 2 s without one; the two routers of lowest hash watch the store, the others hold an exchange with them, and ask the store themselves once no reader has heard from it for 1.1 s. Deletions of an unstable store stay unconfirmed at peers too.

--- a/cmd/flamingohold/machine.go
+++ b/cmd/flamingohold/machine.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/logsink"
 	"github.com/flamingohold/flamingohold/internal/process/machine"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/reload"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/reporter"
 	"github.com/flamingohold/flamingohold/internal/process/router"
@@ -24,7 +25,13 @@
 )
 
 // newMachineRunner returns a process on a machine of the platform.
-type newMachineRunner func(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error)
+type newMachineRunner func(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (machineRunner, error)
+
+// machineRunner is a process whose settings may change while it runs.
+type machineRunner interface {
+	runner
+	Reload(s machine.Settings)
+}
 
 // machineCommand returns the command of a process whose settings the platform
 // provides.
@@ -43,12 +50,14 @@
 func (p *program) runMachine(levelName string, construct newMachineRunner) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// By default, a SIGHUP before the reloader listens would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	level, err := zerolog.ParseLevel(levelName)
 	if err != nil {
 		_, _ = fmt.Fprintln(p.stderr, "flamingohold: flag --log-level:", err)
 		return exitUsage
 	}
-	s, err := platform.LoadSettings(p.environment)
+	s, err := p.loadMachine()
 	if err != nil {
 		_, _ = fmt.Fprintln(p.stderr, "flamingohold:", err)
 		return exitProcess
@@ -56,14 +65,18 @@
 	sink := logsink.New(p.stdout, eventlog.DroppedLine)
 	defer sink.Close()
 	log := eventlog.New(sink, level, s.Name)
-	if err := serveMachine(ctx, s, log, construct); err != nil {
+	if err := p.serveMachine(ctx, s, log, construct); err != nil {
 		log.Emit(eventlog.ProcessFailed).Err(err).Send()
 		return exitProcess
 	}
 	return exitSuccess
 }
 
-func serveMachine(ctx context.Context, s machine.Settings, log *eventlog.Log, construct newMachineRunner) error {
+func (p *program) loadMachine() (machine.Settings, error) {
+	return platform.LoadSettings(p.environment)
+}
+
+func (p *program) serveMachine(ctx context.Context, s machine.Settings, log *eventlog.Log, construct newMachineRunner) error {
 	t, err := telemetry.New(ctx, &settings.Settings{Name: s.Name, DataCentre: s.DataCentre})
 	if err != nil {
 		return err
@@ -72,11 +85,14 @@
 	if err != nil {
 		return errors.CombineErrors(err, t.Shutdown(context.Background()))
 	}
+	life, end := context.WithCancel(ctx)
+	defer end()
+	go reload.New(s, p.loadMachine, r.Reload, log).Run(life)
 	err = r.Run(ctx)
 	return errors.CombineErrors(err, t.Shutdown(context.Background()))
 }
 
-func newRouter(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
+func newRouter(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (machineRunner, error) {
 	return router.New(router.Platform{
 		Settings: s,
 		Headers:  platform.Headers(),
@@ -86,7 +102,7 @@
 	}, log, t)
 }
 
-func newReporter(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (runner, error) {
+func newReporter(s machine.Settings, log *eventlog.Log, t *telemetry.Telemetry) (machineRunner, error) {
 	upstream := func(pool *exchange.Pool) reporter.Upstream { return platform.NewEngines(pool) }
 	return reporter.New(s, upstream, log, t)
 }
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -12,11 +12,13 @@
 const (
 	// watchWait is how long the store holds a watch without a change. It bounds
 	// the time after which a connection that went silent is noticed.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 700 * time.Millisecond
 	// watchGrace is how much longer than watchWait a watch may take.
 	watchGrace = 700 * time.Millisecond
 	// snapshotTimeout bounds a read of all items.
 	snapshotTimeout = 2500 * time.Millisecond
+	// idlePause is the time between two looks at whether the store must be asked.
+	idlePause = 50 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
@@ -45,24 +47,30 @@
 	clock  func() time.Time
 	// pace is the pause between two watches that returned changes.
 	pace time.Duration
+	// needed reports whether this process has to ask the store itself.
+	needed func() bool
 
 	// lost is true while the store does not answer.
 	lost bool
-	// cursor is the revision after which the next watch begins, 0 if a snapshot
-	// is needed.
-	cursor int64
+	// snapshotDue is true if the store has forgotten what the mirror lacks.
+	snapshotDue bool
 }
 
 // NewFollower returns a follower of the store. Between two answers with changes
-// it pauses, so that several changes share a call.
-func NewFollower(m *Mirror, s Store, log *eventlog.Log, clock func() time.Time, pace time.Duration) *Follower {
-	return &Follower{mirror: m, store: s, log: log, clock: clock, pace: pace}
+// it pauses, so that several changes share a call. While needed returns false,
+// others keep the mirror and the store is not asked.
+func NewFollower(m *Mirror, s Store, log *eventlog.Log, clock func() time.Time, pace time.Duration, needed func() bool) *Follower {
+	return &Follower{mirror: m, store: s, log: log, clock: clock, pace: pace, needed: needed}
 }
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	retry := firstRetry
 	for ctx.Err() == nil {
+		if !f.needed() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -71,7 +79,7 @@
 			retry = firstRetry
 			continue
 		case errors.Is(err, ErrCompacted):
-			f.cursor = 0
+			f.snapshotDue = true
 			f.log.Emit(eventlog.StoreHistoryGone).Send()
 			continue
 		}
@@ -82,10 +90,11 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if f.cursor == 0 {
+	revision, _ := f.mirror.Revision()
+	if f.snapshotDue || revision == 0 {
 		return f.snapshot(ctx)
 	}
-	return f.watch(ctx)
+	return f.watch(ctx, revision)
 }
 
 func (f *Follower) snapshot(ctx context.Context) error {
@@ -97,20 +106,19 @@
 	}
 	f.answered()
 	f.mirror.Apply(batch, f.clock())
-	f.cursor = batch.Revision
+	f.snapshotDue = false
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context) error {
+func (f *Follower) watch(ctx context.Context, after int64) error {
 	call, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
-	batch, err := f.store.Watch(call, f.cursor, watchWait)
+	batch, err := f.store.Watch(call, after, watchWait)
 	if err != nil {
 		return err
 	}
 	f.answered()
 	f.mirror.Apply(batch, f.clock())
-	f.cursor = max(f.cursor, batch.Revision)
 	if len(batch.Items) > 0 {
 		sleep(ctx, f.pace)
 	}
@@ -125,7 +133,7 @@
 	}
 	f.lost = false
 	f.mirror.Unstable(now.Add(unconfirmedFor))
-	f.log.Emit(eventlog.StoreReachable).Int64("revision", f.cursor).Send()
+	f.log.Emit(eventlog.StoreReachable).Send()
 }
 
 func (f *Follower) failed(err error) {
@@ -134,7 +142,7 @@
 		return
 	}
 	f.lost = true
-	f.log.Emit(eventlog.StoreUnreachable).Err(err).Int64("revision", f.cursor).Send()
+	f.log.Emit(eventlog.StoreUnreachable).Err(err).Send()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -158,6 +158,13 @@
 	return m.contact
 }
 
+// UnstableUntil returns until when deletions are unconfirmed.
+func (m *Mirror) UnstableUntil() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unstableUntil
+}
+
 // Unstable marks deletions as unconfirmed until the given time.
 func (m *Mirror) Unstable(until time.Time) {
 	m.mu.Lock()
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -1,15 +1,17 @@
 package peers
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingohold/flamingohold/internal/connection/exchange"
@@ -20,20 +22,26 @@
 const (
 	// path is the path of the exchange on the peer address.
 	path = "/v1/peers/exchange"
-	// interval is the time between two exchanges, eagerInterval that while the
-	// store does not answer.
-	interval      = 500 * time.Millisecond
+	// interval is the time between two exchanges with peers at random,
+	// eagerInterval that while no router has heard from the store lately.
+	interval      = time.Second
 	eagerInterval = 150 * time.Millisecond
-	// callTimeout bounds one exchange.
-	callTimeout = 800 * time.Millisecond
+	// feedWait is how long a reader holds an exchange until something changes.
+	feedWait = 500 * time.Millisecond
+	// callTimeout bounds an exchange, beside the time that it is held.
+	callTimeout = 500 * time.Millisecond
+	// feedRetry is the pause after a reader did not answer.
+	feedRetry = 100 * time.Millisecond
 	// lostAfter is how long after its last sign of life a peer counts as gone.
 	lostAfter = 8 * time.Second
 	// seedShare is the share of exchanges with a seed, by which parts of the
 	// fleet that have lost each other meet again.
-	seedShare = 0.1
-	// contactLost is the age of the store's last answer above which the store
-	// counts as lost to this process.
-	contactLost = 2500 * time.Millisecond
+	seedShare = 0.2
+	// readers is the number of routers that ask the store for all.
+	readers = 2
+	// contactLost is the age of the store's last answer, to this router or to one
+	// whose items it has, above which the store counts as lost.
+	contactLost = 1100 * time.Millisecond
 	// maxMessageBytes bounds a message.
 	maxMessageBytes = 32 << 20
 )
@@ -46,6 +54,14 @@
 	Revision int64 `json:"revision"`
 	// Peers are the routers that the sender has heard of lately.
 	Peers []string `json:"peers"`
+	// WaitMillis is how long the receiver may wait until it has something newer.
+	WaitMillis int64 `json:"wait_ms,omitempty"`
+	// ContactAgeMillis is the age of the store's last answer to the sender, or to
+	// a router that the sender has its items from; negative for never.
+	ContactAgeMillis int64 `json:"contact_age_ms"`
+	// UnstableMillis is for how long yet deletions are to be taken as
+	// unconfirmed, as the store was unstable.
+	UnstableMillis int64 `json:"unstable_ms,omitempty"`
 	// Batch holds what the receiver lacks; only answers have it.
 	Batch *mirror.Batch `json:"batch,omitempty"`
 }
@@ -54,15 +70,17 @@
 // use.
 type Peers struct {
 	self   string
-	seeds  []string
 	mirror *mirror.Mirror
 	pool   *exchange.Pool
 	log    *eventlog.Log
 	clock  func() time.Time
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	seeds []string
 	// heard holds when each peer last showed that it lives.
 	heard map[string]time.Time
+	// contact is when the store last answered a router whose items this one has.
+	contact time.Time
 }
 
 // New returns a view that knows the seeds only. The address is this router's
@@ -71,48 +89,121 @@
 	return &Peers{self: self, seeds: seeds, mirror: m, pool: pool, log: log, clock: clock, heard: make(map[string]time.Time)}
 }
 
+// SetSeeds replaces the seeds.
+func (p *Peers) SetSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
+// otherSeeds returns the seeds but for this router.
+func (p *Peers) otherSeeds() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := make([]string, 0, len(p.seeds))
+	for _, s := range p.seeds {
+		if s != p.self {
+			others = append(others, s)
+		}
+	}
+	return others
+}
+
 // Count returns the number of routers that live, this one included.
 func (p *Peers) Count() int { return len(p.living()) + 1 }
 
 // Run exchanges with the others until the context ends.
 func (p *Peers) Run(ctx context.Context) {
+	var feeding sync.WaitGroup
+	feeding.Go(func() { p.feed(ctx) })
+	defer feeding.Wait()
 	for ctx.Err() == nil {
 		if address := p.choose(); address != "" {
-			p.exchange(ctx, address)
+			p.exchange(ctx, address, 0)
 		}
 		p.forget()
-		timer := time.NewTimer(p.pause())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
+		pause(ctx, p.interval())
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
-func (p *Peers) pause() time.Duration {
-	if p.clock().Sub(p.mirror.Contact()) > contactLost {
+func (p *Peers) interval() time.Duration {
+	if p.storeLost() {
 		return eagerInterval
 	}
 	return interval
 }
 
+// feed follows the readers in turn until the context ends.
+func (p *Peers) feed(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		chosen := p.readers()
+		if slices.Contains(chosen, p.self) {
+			pause(ctx, feedWait)
+			continue
+		}
+		if !p.exchange(ctx, chosen[turn%len(chosen)], feedWait) {
+			pause(ctx, feedRetry)
+		}
+	}
+}
+
+// readers returns the routers that ask the store for all: the same ones in each
+// router's view, as far as the views agree. It is never empty.
+func (p *Peers) readers() []string {
+	candidates := append(p.living(), p.self)
+	slices.SortFunc(candidates, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return candidates[:min(readers, len(candidates))]
+}
+
+// MustAskStore reports whether this router has to ask the store itself: it is a
+// reader, or no reader has heard from the store lately.
+func (p *Peers) MustAskStore() bool {
+	return slices.Contains(p.readers(), p.self) || p.storeLost()
+}
+
+// storeLost reports whether neither this router nor one that it has its items
+// from has heard from the store lately.
+func (p *Peers) storeLost() bool {
+	age := p.contactAge()
+	return age < 0 || age > contactLost
+}
+
+// contactAge returns the age of the store's last answer, negative for never.
+func (p *Peers) contactAge() time.Duration {
+	own := p.mirror.Contact()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	latest := own
+	if p.contact.After(latest) {
+		latest = p.contact
+	}
+	if latest.IsZero() {
+		return -1
+	}
+	return p.clock().Sub(latest)
+}
+
 // choose returns the peer for the next exchange, empty for none.
 func (p *Peers) choose() string {
-	living := p.living()
-	if len(living) == 0 || rand.Float64() < seedShare {
-		living = living[:0]
-		for _, s := range p.seeds {
-			if s != p.self {
-				living = append(living, s)
-			}
-		}
+	candidates := p.living()
+	if len(candidates) == 0 || rand.Float64() < seedShare {
+		candidates = p.otherSeeds()
 	}
-	if len(living) == 0 {
+	if len(candidates) == 0 {
 		return ""
 	}
-	return living[rand.IntN(len(living))]
+	return candidates[rand.IntN(len(candidates))]
 }
 
 func (p *Peers) living() []string {
@@ -167,20 +258,59 @@
 	}
 }
 
-func (p *Peers) exchange(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// exchange tells the peer what this router has and takes over what it lacks. It
+// reports whether the peer answered.
+func (p *Peers) exchange(ctx context.Context, address string, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	revision, _ := p.mirror.Revision()
-	answer, err := p.call(ctx, address, message{Address: p.self, Revision: revision, Peers: p.living()})
+	question := p.message(revision)
+	question.WaitMillis = wait.Milliseconds()
+	answer, err := p.call(ctx, address, question)
 	if err != nil {
 		// A peer that stays silent is forgotten, which is logged.
-		return
+		return false
 	}
 	p.hear(address)
 	p.learn(answer.Peers)
+	if answer.UnstableMillis > 0 {
+		p.mirror.Unstable(p.clock().Add(time.Duration(answer.UnstableMillis) * time.Millisecond))
+	}
 	if answer.Batch != nil && answer.Batch.Revision > revision {
 		p.mirror.Apply(*answer.Batch, p.clock())
 	}
+	p.noteContact(answer)
+	return true
+}
+
+// noteContact takes over when the store answered the peer, if this router has
+// all items that the peer has.
+func (p *Peers) noteContact(m message) {
+	if m.ContactAgeMillis < 0 {
+		return
+	}
+	if revision, _ := p.mirror.Revision(); revision < m.Revision {
+		return
+	}
+	contact := p.clock().Add(-time.Duration(m.ContactAgeMillis) * time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if contact.After(p.contact) {
+		p.contact = contact
+	}
+}
+
+// message returns what this router tells others.
+func (p *Peers) message(revision int64) message {
+	age := p.contactAge()
+	m := message{Address: p.self, Revision: revision, Peers: p.living(), ContactAgeMillis: age.Milliseconds()}
+	if age < 0 {
+		m.ContactAgeMillis = -1
+	}
+	if unstable := p.mirror.UnstableUntil().Sub(p.clock()); unstable > 0 {
+		m.UnstableMillis = unstable.Milliseconds()
+	}
+	return m
 }
 
 func (p *Peers) call(ctx context.Context, address string, m message) (message, error) {
@@ -216,10 +346,10 @@
 	}
 	p.hear(m.Address)
 	p.learn(m.Peers)
-	revision, _ := p.mirror.Revision()
-	reply := message{Address: p.self, Revision: revision, Peers: p.living()}
-	if revision > m.Revision && p.mirror.Filled() {
-		batch := p.mirror.Since(m.Revision)
+	p.await(r.Context(), m)
+	batch := p.mirror.Since(m.Revision)
+	reply := p.message(batch.Revision)
+	if batch.Revision > m.Revision && p.mirror.Filled() {
 		reply.Batch = &batch
 	}
 	body, err := json.Marshal(reply)
@@ -228,7 +358,24 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = io.Copy(w, bytes.NewReader(body))
+	_, _ = w.Write(body)
+}
+
+// await waits until this router has something that the other one lacks, at most
+// as long as the other one allows.
+func (p *Peers) await(ctx context.Context, m message) {
+	revision, changed := p.mirror.Revision()
+	wait := min(time.Duration(m.WaitMillis)*time.Millisecond, feedWait)
+	if wait <= 0 || revision > m.Revision {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
 }
 
 // Path returns the path at which ServeHTTP is to be served.
--- /dev/null
+++ b/internal/process/reload/reload.go
@@ -0,0 +1,73 @@
+package reload
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/machine"
+)
+
+// checkInterval is the time between two looks at settings that may have changed
+// without a signal.
+const checkInterval = 2 * time.Second
+
+// Reloader takes over changed settings.
+type Reloader struct {
+	current machine.Settings
+	load    func() (machine.Settings, error)
+	apply   func(machine.Settings)
+	log     *eventlog.Log
+	// refused is the last error, so that it is logged once.
+	refused string
+	signals chan os.Signal
+}
+
+// New returns a reloader of a process that runs with the current settings. From
+// here on, a SIGHUP no longer ends the process.
+func New(current machine.Settings, load func() (machine.Settings, error), apply func(machine.Settings), log *eventlog.Log) *Reloader {
+	r := &Reloader{current: current, load: load, apply: apply, log: log, signals: make(chan os.Signal, 1)}
+	signal.Notify(r.signals, syscall.SIGHUP)
+	return r
+}
+
+// Run reloads until the context ends.
+func (r *Reloader) Run(ctx context.Context) {
+	defer signal.Stop(r.signals)
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+			r.reload("signal")
+		case <-ticker.C:
+			r.reload("change")
+		}
+	}
+}
+
+func (r *Reloader) reload(trigger string) {
+	s, err := r.load()
+	if err != nil {
+		if err.Error() != r.refused {
+			r.refused = err.Error()
+			r.log.Emit(eventlog.SettingsRefused).Str("trigger", trigger).Err(err).Send()
+		}
+		return
+	}
+	r.refused = ""
+	changed := !reflect.DeepEqual(s, r.current)
+	if changed {
+		r.current = s
+		r.apply(s)
+	}
+	if changed || trigger == "signal" {
+		r.log.Emit(eventlog.SettingsReloaded).Str("trigger", trigger).Bool("changed", changed).Strs("seeds", s.Seeds).Send()
+	}
+}
--- /dev/null
+++ b/internal/process/reload/reload_test.go
@@ -0,0 +1,40 @@
+package reload
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/machine"
+)
+
+// Guards against a SIGHUP that ends the process, which it does by default, and
+// against settings that change with a signal and are not taken over.
+func TestSignalReloadsSettings(t *testing.T) {
+	var applied atomic.Pointer[machine.Settings]
+	changed := machine.Settings{Name: "router-1", Seeds: []string{"10.0.0.1:1"}}
+	r := New(machine.Settings{Name: "router-1"}, func() (machine.Settings, error) { return changed, nil },
+		func(s machine.Settings) { applied.Store(&s) }, eventlog.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
+	require.Eventually(t, func() bool { return applied.Load() != nil }, checkInterval/2, time.Millisecond)
+	require.Equal(t, changed, *applied.Load())
+	cancel()
+	<-done
+}
+
+// Guards against settings that cannot be read and replace those in force.
+func TestUnreadableSettingsAreNotApplied(t *testing.T) {
+	r := New(machine.Settings{}, func() (machine.Settings, error) { return machine.Settings{}, errors.New("torn") },
+		func(machine.Settings) { t.Fatal("applied") }, eventlog.Discard())
+	r.reload("signal")
+	r.reload("change")
+}
--- a/internal/process/repeatbudget/repeatbudget.go
+++ b/internal/process/repeatbudget/repeatbudget.go
@@ -27,11 +27,11 @@
 // Budget counts the requests and repeats of one router. It is safe for
 // concurrent use.
 type Budget struct {
-	bound Bound
 	// routers returns the number of routers.
 	routers func() int
 
 	mu       sync.Mutex
+	bound    Bound
 	services map[string]*counts
 }
 
@@ -48,6 +48,16 @@
 	return &Budget{bound: b, routers: routers, services: make(map[string]*counts)}
 }
 
+// SetBound replaces the bound.
+func (b *Budget) SetBound(bound Bound) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bound.Window != b.bound.Window {
+		b.services = make(map[string]*counts)
+	}
+	b.bound = bound
+}
+
 // Request counts the first send of a request.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -70,6 +70,10 @@
 	}, nil
 }
 
+// Reload takes over changed settings: none of those of a reporter can change
+// while it runs.
+func (r *Reporter) Reload(machine.Settings) {}
+
 // Run serves until the context ends.
 func (r *Reporter) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -43,7 +43,7 @@
 	// the platform has seen that it is not ready.
 	announceFor = 2500 * time.Millisecond
 	// stopMargin is the part of the shutdown notice that is kept clear.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 200 * time.Millisecond
 	// maxBodyBytes bounds a request body whatever the table says.
 	maxBodyBytes = 16 << 20
 	// reservedDescriptors are not used for callers' connections.
@@ -62,7 +62,9 @@
 
 // Router is one process.
 type Router struct {
+	// settings are those of the start; notice is the shutdown notice in force.
 	settings  machine.Settings
+	notice    atomic.Int64
 	log       *eventlog.Log
 	telemetry *telemetry.Telemetry
 	clock     func() time.Time
@@ -91,9 +93,10 @@
 	r.directory = directory.New(log, r.coldRate)
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
 	r.mirror = mirror.New(r.view.Apply)
-	r.follower = mirror.NewFollower(r.mirror, p.Store(r.pool), log, r.clock, storePace)
 	r.peers = peers.New(s.PeerAddress, s.Seeds, r.mirror, r.pool, log, r.clock)
-	r.budget = repeatbudget.New(repeatbudget.Bound{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, r.peers.Count)
+	r.follower = mirror.NewFollower(r.mirror, p.Store(r.pool), log, r.clock, storePace, r.peers.MustAskStore)
+	r.notice.Store(int64(s.ShutdownNotice))
+	r.budget = repeatbudget.New(bound(s), r.peers.Count)
 	r.feed = reportfeed.New(r.pool, r.directory, r.hasReporters, s.ReporterPort, log, r.clock)
 	r.relocator = relocation.New(relocation.Options{
 		Engines: p.Engines(r.pool), Directory: r.directory, Turns: r.feed, Log: log,
@@ -102,6 +105,18 @@
 	return r, nil
 }
 
+func bound(s machine.Settings) repeatbudget.Bound {
+	return repeatbudget.Bound{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
+}
+
+// Reload takes over changed settings. Addresses stay as they are until the
+// process starts again.
+func (r *Router) Reload(s machine.Settings) {
+	r.peers.SetSeeds(s.Seeds)
+	r.budget.SetBound(bound(s))
+	r.notice.Store(int64(s.ShutdownNotice))
+}
+
 // coldRate returns the share of a cold upstream's rate that this router uses.
 func (r *Router) coldRate(service string) float64 {
 	t := r.view.Table()
@@ -255,10 +270,11 @@
 func (r *Router) shutdown(callers *listener.Listener) error {
 	r.stopping.Store(true)
 	began := r.clock()
-	r.log.Emit(eventlog.ProcessStopping).Dur("notice", r.settings.ShutdownNotice).Send()
+	notice := time.Duration(r.notice.Load())
+	r.log.Emit(eventlog.ProcessStopping).Dur("notice", notice).Send()
 	callers.CloseAfterAnswers()
-	time.Sleep(min(announceFor, r.settings.ShutdownNotice/2))
-	left := r.settings.ShutdownNotice - stopMargin - r.clock().Sub(began)
+	time.Sleep(min(announceFor, notice/2))
+	left := notice - stopMargin - r.clock().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
