Take a former start at an address for gone; bound requests to wrong addresses

Ruled out: a stale mirror; the routers had read the list after their start. Change: of two starts at one address the one born later holds, by the list or by the reporter's word; repeats after a wrong address draw on the shared budget.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -55,8 +55,7 @@
 
 // upstream is what is known of one upstream.
 type upstream struct {
-	entry  Entry
-	listed bool
+	entry Entry
 	// goneAt is when the upstream is to be taken as gone, zero for not.
 	goneAt time.Time
 	// coldUntil is when the upstream is warm.
@@ -126,8 +125,8 @@
 	}
 	wasLeaving := u.isLeaving(now)
 	u.entry = e
-	u.listed = true
 	u.goneAt = time.Time{}
+	d.supersede(u, now)
 	if e.ColdFor > 0 {
 		u.coldUntil = now.Add(e.ColdFor)
 	}
@@ -138,6 +137,28 @@
 	}
 }
 
+// supersede takes the upstream, or others, for gone if one that was born later
+// has the same address: the list still names a former start of it.
+func (d *Directory) supersede(u *upstream, now time.Time) {
+	if u.entry.Born == 0 {
+		return
+	}
+	for _, other := range d.upstreams {
+		if other == u || other.entry.Address != u.entry.Address || other.entry.Born == 0 {
+			continue
+		}
+		older := other
+		if u.entry.Born < other.entry.Born {
+			older = u
+		}
+		if older.goneAt.IsZero() {
+			older.goneAt = now
+			d.log.Emit(eventlog.UpstreamSuperseded).Str("upstream", older.entry.ID).Str("address", older.entry.Address).
+				Int64("born", older.entry.Born).Send()
+		}
+	}
+}
+
 // Unlist takes the upstream off the list: at once, or after a while if the list
 // was unstable when it lost the upstream.
 func (d *Directory) Unlist(id string, unconfirmed bool, now time.Time) {
@@ -168,7 +189,7 @@
 func (d *Directory) Report(id string, r Report, now time.Time) {
 	d.mu.Lock()
 	u := d.upstreams[id]
-	if u == nil || (r.Born != 0 && u.entry.Born != 0 && r.Born != u.entry.Born) {
+	if u == nil || !u.isReportOf(r, now) {
 		d.mu.Unlock()
 		return
 	}
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -18,6 +18,18 @@
 	return !u.goneAt.IsZero() && !now.Before(u.goneAt)
 }
 
+// isReportOf reports whether the report is of this start of the upstream. One
+// that was born later at the same address takes its place.
+func (u *upstream) isReportOf(r Report, now time.Time) bool {
+	if r.Born == 0 || u.entry.Born == 0 || r.Born == u.entry.Born {
+		return true
+	}
+	if r.Born > u.entry.Born && u.goneAt.IsZero() {
+		u.goneAt = now
+	}
+	return false
+}
+
 // expired reports whether the upstream can be forgotten.
 func (u *upstream) expired(now time.Time) bool {
 	return !u.goneAt.IsZero() && now.Sub(u.goneAt) > keepGone
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -104,6 +104,10 @@
 		6028, "turn_not_granted", zerolog.InfoLevel,
 		"A reporter gave no turn for a copy in time; the copy begins without one.", "none",
 	}
+	UpstreamSuperseded = Event{
+		6029, "upstream_superseded", zerolog.InfoLevel,
+		"The list still names a former start of an upstream at an address that a later one has.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request failed; the caller got an error or a closed connection.", "Report the stack.",
@@ -122,5 +126,6 @@
 		GenerationMoved, GenerationMoveFailed, PeerFound, PeerLost, LogLinesDropped,
 		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, TurnDecided,
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
+		UpstreamSuperseded,
 	}
 }
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -39,10 +39,10 @@
 
 // mayTry reports whether the request may be sent to another upstream.
 func (c *call) mayTry(ctx context.Context) bool {
-	if ctx.Err() != nil || c.unsent >= maxUnsent {
+	if ctx.Err() != nil || c.unsent+c.misaddressed >= maxUnsent {
 		return false
 	}
-	if c.sends == 0 {
+	if c.sends+c.misaddressed == 0 {
 		return true
 	}
 	return c.sends < c.route.MaxAttempts && c.Budget.Repeat(c.service.Name, c.Clock())
@@ -51,8 +51,10 @@
 // note counts the send by what became of it.
 func (c *call) note(o outcome) {
 	switch o {
-	case unsent, misaddressed:
+	case unsent:
 		c.unsent++
+	case misaddressed:
+		c.misaddressed++
 	case declined:
 		c.sends++
 	case lost, answered:
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -77,9 +77,9 @@
 	deadline time.Time
 	// callerDeadline is when the caller stops waiting.
 	callerDeadline time.Time
-	// sends counts the upstreams that got the request, unsent those that did not
-	// although they were chosen.
-	sends, unsent int
+	// sends counts the upstreams that got the request, misaddressed those whose
+	// address another upstream has, and unsent those that were not reached.
+	sends, misaddressed, unsent int
 	// mayHaveRun is true unless all upstreams that got the request state that
 	// they did not run it.
 	mayHaveRun bool
