Publish changes of waiting prompts at once

A prompt occupies an upstream's reading for about 0.43 s, so that 56% of it is in use, and 28 routers placed by reports of up to 240 ms ago on the same upstreams. Change: a reporter reads every 25 ms and publishes a change of the number of waiting prompts at once, other changes of load every 250 ms.

--- a/internal/process/reporter/message.go
+++ b/internal/process/reporter/message.go
@@ -46,7 +46,14 @@
 	}
 }
 
-// urgent reports whether routers must know of the change at once.
-func (l Line) urgent(before Line) bool {
+// changesState reports whether the upstream has started, leaves, or does not
+// answer any more.
+func (l Line) changesState(before Line) bool {
 	return l.Born != before.Born || l.Leaving != before.Leaving || l.Gone != before.Gone
 }
+
+// urgent reports whether routers must know of the change at once. Prompts that
+// wait are part of it, as all routers place by them.
+func (l Line) urgent(before Line) bool {
+	return l.changesState(before) || l.Waiting != before.Waiting
+}
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -21,9 +21,9 @@
 
 const (
 	// pollInterval is the time between two reads of the upstream's report.
-	pollInterval = 40 * time.Millisecond
+	pollInterval = 25 * time.Millisecond
 	// paceInterval is the shortest time between two lines that are not urgent.
-	paceInterval = 200 * time.Millisecond
+	paceInterval = 250 * time.Millisecond
 	// callTimeout bounds a read of the report.
 	callTimeout = 400 * time.Millisecond
 	// goneAfter is the number of reads in a row that must fail before the
@@ -149,9 +149,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	urgent := !r.known || line.urgent(r.line)
+	stateChanged := !r.known || line.changesState(r.line)
 	changed := line != r.line
 	r.line, r.known = line, true
-	if urgent {
+	if stateChanged {
 		r.log.Emit(eventlog.UpstreamReported).Int64("born", line.Born).Bool("leaving", line.Leaving).
 			Int64("leaves_in_ms", line.LeavesInMillis).Bool("gone", line.Gone).Int("running", line.Running).
 			Int("memory_used", line.MemoryUsed).Send()
