--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -21,7 +21,7 @@
 
 const (
 	// pollInterval is the time between two reads of the upstream's report.
-	pollInterval = 25 * time.Millisecond
+	pollInterval = 15 * time.Millisecond
 	// paceInterval is the shortest time between two lines that are not urgent.
 	paceInterval = 250 * time.Millisecond
 	// callTimeout bounds a read of the report.
--- a/internal/process/selection/selection.go
+++ b/internal/process/selection/selection.go
@@ -19,7 +19,7 @@
 	coldPenalty = 0.5
 	// waitingLoad is the load of a prompt that is still to be read: it delays both
 	// the next prompt and all generations under way.
-	waitingLoad = 0.25
+	waitingLoad = 0.4
 	// unreportedShare is the load that one call of this process stands for, as a
 	// share of an upstream's slots, if the upstream has not reported.
 	unreportedShare = 4.0
