--- /dev/null
+++ b/internal/process/mirror/mirror_test.go
@@ -0,0 +1,90 @@
+package mirror
+
+import (
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// recorder keeps what a mirror tells of.
+type recorder struct{ changes []Change }
+
+func (r *recorder) add(changes []Change, _ time.Time) { r.changes = append(r.changes, changes...) }
+
+func keys(b Batch) []string {
+	var names []string
+	for _, i := range b.Items {
+		names = append(names, i.Key)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func put(key string, revision int64) Item { return Item{Key: key, Value: []byte(key), Revision: revision} }
+
+// Guards against an older state of a key that replaces a newer one, as batches
+// come from the store and from peers in any order.
+func TestOlderItemsDoNotReplaceNewer(t *testing.T) {
+	r := &recorder{}
+	m := New(r.add)
+	m.Apply(Batch{Items: []Item{put("a", 5)}, Revision: 5}, start)
+	m.Apply(Batch{Items: []Item{put("a", 3)}, Revision: 4}, start)
+	m.Apply(Batch{Items: []Item{{Key: "a", Revision: 4, Deleted: true}}, Revision: 4}, start)
+	require.Len(t, r.changes, 1)
+	revision, _ := m.Revision()
+	require.EqualValues(t, 5, revision)
+}
+
+// Guards against keys that were deleted while the history was lost and stay.
+func TestFullBatchDeletesWhatIsAbsent(t *testing.T) {
+	r := &recorder{}
+	m := New(r.add)
+	m.Apply(Batch{Items: []Item{put("a", 1), put("b", 2)}, Revision: 2}, start)
+	m.Apply(Batch{Items: []Item{put("c", 9)}, Revision: 9}, start)
+	m.Apply(Batch{Items: []Item{put("b", 2)}, Revision: 7, Full: true}, start)
+	last := r.changes[len(r.changes)-1]
+	require.Equal(t, "a", last.Item.Key)
+	require.True(t, last.Item.Deleted)
+	require.Equal(t, []string{"b", "c"}, keys(m.Since(0)), "a key that is newer than the batch stays")
+}
+
+// Guards against peers that miss a deletion.
+func TestSinceHoldsDeletions(t *testing.T) {
+	m := New((&recorder{}).add)
+	m.Apply(Batch{Items: []Item{put("a", 1), put("b", 2)}, Revision: 2}, start)
+	m.Apply(Batch{Items: []Item{{Key: "a", Revision: 3, Deleted: true}}, Revision: 3}, start)
+	delta := m.Since(2)
+	require.False(t, delta.Full)
+	require.Equal(t, []string{"a"}, keys(delta))
+	require.True(t, delta.Items[0].Deleted)
+}
+
+// Guards against deletions that are forgotten and missed by a peer that is far
+// behind: it must get all items as a full batch.
+func TestPeerBehindTheForgottenDeletionsGetsAll(t *testing.T) {
+	m := New((&recorder{}).add)
+	m.Apply(Batch{Items: []Item{put("kept", 1)}, Revision: 1}, start)
+	revision := int64(1)
+	for range maxTombstones + 1 {
+		revision++
+		m.Apply(Batch{Items: []Item{{Key: time.Duration(revision).String(), Revision: revision, Deleted: true}}, Revision: revision}, start)
+	}
+	require.True(t, m.Since(5).Full)
+	require.Equal(t, []string{"kept"}, keys(m.Since(5)))
+}
+
+// Guards against upstreams that are dropped though the store lost them only
+// because it was away.
+func TestDeletionsOfAnUnstableStoreAreUnconfirmed(t *testing.T) {
+	r := &recorder{}
+	m := New(r.add)
+	m.Unstable(start.Add(time.Second))
+	m.Apply(Batch{Items: []Item{{Key: "a", Revision: 1, Deleted: true}}, Revision: 1}, start)
+	m.Apply(Batch{Items: []Item{{Key: "b", Revision: 2, Deleted: true}}, Revision: 2}, start.Add(time.Second))
+	require.True(t, r.changes[0].Unconfirmed)
+	require.False(t, r.changes[1].Unconfirmed)
+}
--- /dev/null
+++ b/internal/request/eventstream/eventstream_test.go
@@ -0,0 +1,58 @@
+package eventstream
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against bytes that are lost, added or moved between events, however the
+// stream is cut into reads.
+func TestEventsAreWhatCame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want []string
+		for i := range rapid.IntRange(0, 20).Draw(t, "events") {
+			newline := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "newline")
+			data := rapid.StringMatching(`[a-z ]{0,300}`).Draw(t, "data")
+			want = append(want, "id: "+strconv.Itoa(i)+newline+"data:"+data+newline+newline)
+		}
+		rest := rapid.SampledFrom([]string{"", "id: 99\nda"}).Draw(t, "rest")
+		r := New(iotest.OneByteReader(strings.NewReader(strings.Join(want, "") + rest)))
+		for i, w := range want {
+			e, err := r.Next()
+			require.NoError(t, err)
+			require.Equal(t, w, string(e.Data))
+			require.Equal(t, strconv.Itoa(i), e.ID)
+		}
+		e, err := r.Next()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, rest, string(e.Data))
+	})
+}
+
+// Guards against an event without end that takes all memory.
+func TestEventIsBounded(t *testing.T) {
+	r := New(bytes.NewReader(bytes.Repeat([]byte("x"), 4*maxEventBytes)))
+	_, err := r.Next()
+	require.ErrorIs(t, err, ErrTooLarge)
+}
+
+func BenchmarkNext(b *testing.B) {
+	event := []byte("id: 12\ndata: " + strings.Repeat("x", 300) + "\n\n")
+	source := bytes.Repeat(event, 200)
+	b.SetBytes(int64(len(source)))
+	for b.Loop() {
+		r := New(bytes.NewReader(source))
+		for {
+			if _, err := r.Next(); err != nil {
+				break
+			}
+		}
+	}
+}
