--- /dev/null
+++ b/internal/process/peers/peers_test.go
@@ -0,0 +1,143 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
+)
+
+// node is one router's mirror and view of the others.
+type node struct {
+	peers  *Peers
+	mirror *mirror.Mirror
+	server *http.Server
+}
+
+// startNodes starts routers that know only the first one as seed.
+func startNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	nodes := make([]*node, count)
+	sockets := make([]net.Listener, count)
+	for i := range nodes {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		sockets[i] = socket
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for i := range nodes {
+		m := mirror.New(func([]mirror.Change, time.Time) {})
+		pool := exchange.New(exchange.Options{DialTimeout: time.Second}, time.Now)
+		seeds := []string{sockets[0].Addr().String(), "127.0.0.1:1"}
+		p := New(sockets[i].Addr().String(), seeds, m, pool, eventlog.Discard(), time.Now)
+		server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
+		nodes[i] = &node{peers: p, mirror: m, server: server}
+		running.Go(func() { _ = server.Serve(sockets[i]) })
+		running.Go(func() { p.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, n := range nodes {
+			_ = n.server.Close()
+		}
+		running.Wait()
+	})
+	return nodes
+}
+
+func item(revision int64) mirror.Batch {
+	return mirror.Batch{Items: []mirror.Item{{Key: "op/config", Value: []byte("{}"), Revision: revision}}, Revision: revision}
+}
+
+// keepContact acts as the store that answers the nodes that ask it.
+func keepContact(t *testing.T, nodes []*node) {
+	t.Helper()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				for _, n := range nodes {
+					if n.peers.MustAskStore() {
+						n.mirror.Contacted(now)
+					}
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() { ticker.Stop(); close(done) })
+}
+
+// Guards against routers that stay apart with one seed, against a store that all
+// of them ask, and against one that none asks.
+func TestRoutersFindEachOtherAndFewAskTheStore(t *testing.T) {
+	nodes := startNodes(t, 5)
+	keepContact(t, nodes)
+	require.Eventually(t, func() bool {
+		asking := 0
+		for _, n := range nodes {
+			if n.peers.Count() != len(nodes) {
+				return false
+			}
+			if n.peers.MustAskStore() {
+				asking++
+			}
+		}
+		return asking == readers
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
+// Guards against a change that reaches only the routers that the store answers.
+func TestChangeReachesAllRouters(t *testing.T) {
+	nodes := startNodes(t, 4)
+	keepContact(t, nodes)
+	reader := func() *node {
+		for _, n := range nodes {
+			if n.peers.Count() == len(nodes) && n.peers.MustAskStore() {
+				return n
+			}
+		}
+		return nil
+	}
+	require.Eventually(t, func() bool { return reader() != nil }, 10*time.Second, 20*time.Millisecond)
+	reader().mirror.Apply(item(7), time.Now())
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			if revision, _ := n.mirror.Revision(); revision != 7 {
+				return false
+			}
+		}
+		return true
+	}, 3*time.Second, 5*time.Millisecond)
+}
+
+// Guards against a router that relies on readers which no longer hear from the
+// store.
+func TestRouterAsksTheStoreItselfOnceReadersHearNothing(t *testing.T) {
+	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), time.Now)
+	require.True(t, p.MustAskStore(), "a router that is alone asks the store")
+	p.mirror.Apply(item(1), time.Now())
+	p.noteContact(message{Revision: 1, ContactAgeMillis: 0})
+	require.False(t, p.storeLost())
+	p.clock = func() time.Time { return time.Now().Add(contactLost + time.Millisecond) }
+	require.True(t, p.storeLost())
+}
+
+// Guards against the word of a peer whose items this router lacks.
+func TestContactCountsOnlyWithItsItems(t *testing.T) {
+	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), time.Now)
+	p.noteContact(message{Revision: 5, ContactAgeMillis: 0})
+	require.True(t, p.storeLost())
+}
