--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 
 	"github.com/rs/zerolog"
 )
@@ -21,6 +22,12 @@
 	Action string
 }
 
+// timeFormat is RFC 3339 with milliseconds, as events of several processes are
+// put in order by their time.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+var preciseTime sync.Once
+
 // Log writes events of one process. It is safe for concurrent use.
 type Log struct {
 	logger zerolog.Logger
@@ -28,6 +35,7 @@
 
 // New returns a log that writes JSON lines with the process's name.
 func New(w io.Writer, level zerolog.Level, process string) *Log {
+	preciseTime.Do(func() { zerolog.TimeFieldFormat = timeFormat })
 	logger := zerolog.New(w).Level(level).With().Timestamp().Str("process", process).Logger()
 	return &Log{logger: logger}
 }
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -108,6 +108,10 @@
 		6029, "upstream_superseded", zerolog.InfoLevel,
 		"The list still names a former start of an upstream at an address that a later one has.", "none",
 	}
+	UpstreamChosen = Event{
+		6030, "upstream_chosen", zerolog.InfoLevel,
+		"A request goes to an upstream; the inputs of the choice and their age stand beside it.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request failed; the caller got an error or a closed connection.", "Report the stack.",
@@ -126,6 +130,6 @@
 		GenerationMoved, GenerationMoveFailed, PeerFound, PeerLost, LogLinesDropped,
 		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, TurnDecided,
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
-		UpstreamSuperseded,
+		UpstreamSuperseded, UpstreamChosen,
 	}
 }
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -24,7 +24,9 @@
 	return names
 }
 
-func put(key string, revision int64) Item { return Item{Key: key, Value: []byte(key), Revision: revision} }
+func put(key string, revision int64) Item {
+	return Item{Key: key, Value: []byte(key), Revision: revision}
+}
 
 // Guards against an older state of a key that replaces a newer one, as batches
 // come from the store and from peers in any order.
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -11,6 +11,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/selection"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
 const (
@@ -56,8 +57,9 @@
 	log       *eventlog.Log
 	clock     func() time.Time
 	draw      func() float64
-	// memory returns the memory of one engine of the service in tokens.
-	memory func(service string) int
+	// engine returns the engines of the service, nil if runs of the service
+	// cannot be moved.
+	engine func(service string) *routetable.Engine
 
 	mu sync.Mutex
 	// runs holds the runs by upstream.
@@ -73,16 +75,16 @@
 	Clock     func() time.Time
 	// Draw returns a random number from [0, 1).
 	Draw func() float64
-	// Memory returns the memory of one engine of the service in tokens, 0 if
-	// runs of the service cannot be moved.
-	Memory func(service string) int
+	// Engine returns the engines of the service, nil if runs of the service
+	// cannot be moved.
+	Engine func(service string) *routetable.Engine
 }
 
 // New returns a relocator without runs.
 func New(o Options) *Relocator {
 	return &Relocator{
 		engines: o.Engines, directory: o.Directory, turns: o.Turns, log: o.Log, clock: o.Clock,
-		draw: o.Draw, memory: o.Memory, runs: make(map[string]map[*Run]struct{}),
+		draw: o.Draw, engine: o.Engine, runs: make(map[string]map[*Run]struct{}),
 	}
 }
 
@@ -148,7 +150,8 @@
 
 // move copies the run to another upstream and hands it off.
 func (m *Relocator) move(ctx context.Context, r *Run) {
-	if m.memory(r.service) == 0 || !r.beginMove() {
+	engine := m.engine(r.service)
+	if engine == nil || !r.beginMove() {
 		return
 	}
 	defer r.endMove()
@@ -158,11 +161,11 @@
 		return
 	}
 	source := r.Source()
-	release := m.turns.Acquire(ctx, source, r.requestID, r.worth())
+	release := m.turns.Acquire(ctx, source, r.requestID, r.worth(engine.EventTokens))
 	defer release()
 	tried := map[string]bool{source.ID: true}
 	for range maxTargets {
-		target, releaseTarget, ok := m.target(ctx, r, source, tried)
+		target, releaseTarget, ok := m.target(ctx, r, engine, source, tried)
 		if !ok {
 			m.failed(r, source, directory.View{}, "choose_target", errors.New("no upstream has room"))
 			return
@@ -177,12 +180,12 @@
 }
 
 // target chooses an upstream whose link is free, or the best one if none is.
-func (m *Relocator) target(ctx context.Context, r *Run, source directory.View, tried map[string]bool) (directory.View, func(), bool) {
-	views := m.directory.Service(r.service, m.clock())
+func (m *Relocator) target(ctx context.Context, r *Run, engine *routetable.Engine, source directory.View, tried map[string]bool) (directory.View, func(), bool) {
 	request := selection.Request{
-		DataCentre: source.DataCentre, Tokens: r.promptTokens, MemoryTokens: m.memory(r.service),
+		DataCentre: source.DataCentre, Tokens: r.tokens(engine.EventTokens), MemoryTokens: engine.MemoryTokens,
 		Exclude: maps.Clone(tried), StayPenalty: moveStayPenalty,
 	}
+	views := withRoom(m.directory.Service(r.service, m.clock()), request)
 	var best directory.View
 	for asked := range maxAsked {
 		v, ok := selection.Choose(views, request, m.draw)
@@ -200,6 +203,20 @@
 	return best, func() {}, best.ID != ""
 }
 
+// withRoom returns the upstreams that have room, or all if none is known to.
+func withRoom(views []directory.View, r selection.Request) []directory.View {
+	var roomy []directory.View
+	for _, v := range views {
+		if selection.HasRoom(&v, r) {
+			roomy = append(roomy, v)
+		}
+	}
+	if len(roomy) == 0 {
+		return views
+	}
+	return roomy
+}
+
 // moveStayPenalty is the load that is accepted at the target for a copy within
 // the data centre, which takes half the time.
 const moveStayPenalty = 0.4
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
 // scriptedEngines answers copies as the test says and records the orders.
@@ -66,7 +67,8 @@
 	}
 	h.relocator = New(Options{
 		Engines: h.engines, Directory: h.directory, Turns: turns, Log: eventlog.Discard(), Clock: time.Now,
-		Draw: func() float64 { return 0 }, Memory: func(string) int { return 1000 },
+		Draw:   func() float64 { return 0 },
+		Engine: func(string) *routetable.Engine { return &routetable.Engine{MemoryTokens: 1000, EventTokens: 4} },
 	})
 	h.directory.OnDeparture(func(id string) { h.relocator.Departed(t.Context(), id) })
 	return h
@@ -228,5 +230,10 @@
 func TestWorthOfARun(t *testing.T) {
 	long := NewRun("long", "lm", directory.View{}, 1000, 900)
 	short := NewRun("short", "lm", directory.View{}, 1000, 10)
-	require.Greater(t, long.worth(), short.worth())
+	require.Greater(t, long.worth(4), short.worth(4))
+	before := long.worth(4)
+	for range 200 {
+		long.Event()
+	}
+	require.Less(t, long.worth(4), before, "there is more to copy")
 }
--- a/internal/process/relocation/run.go
+++ b/internal/process/relocation/run.go
@@ -165,11 +165,19 @@
 
 // worth orders the runs that must leave an upstream: by what is lost with the
 // run for each token that must be copied.
-func (r *Run) worth() float64 {
+func (r *Run) worth(eventTokens int) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	output := max(r.outputTokens, 1)
-	return float64(r.promptTokens+outputWorth*output) / float64(max(1, r.promptTokens))
+	made := r.events * eventTokens
+	output := max(r.outputTokens, made)
+	return float64(r.promptTokens+outputWorth*output) / float64(max(1, r.promptTokens+made))
+}
+
+// tokens returns the memory that the run takes now, in tokens.
+func (r *Run) tokens(eventTokens int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.promptTokens + r.events*eventTokens
 }
 
 func (r *Run) setSource(v directory.View) {
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -100,7 +100,7 @@
 	r.feed = reportfeed.New(r.pool, r.directory, r.hasReporters, s.ReporterPort, log, r.clock)
 	r.relocator = relocation.New(relocation.Options{
 		Engines: p.Engines(r.pool), Directory: r.directory, Turns: r.feed, Log: log,
-		Clock: r.clock, Draw: rand.Float64, Memory: r.movableMemory,
+		Clock: r.clock, Draw: rand.Float64, Engine: r.movableEngine,
 	})
 	return r, nil
 }
@@ -119,39 +119,36 @@
 
 // coldRate returns the share of a cold upstream's rate that this router uses.
 func (r *Router) coldRate(service string) float64 {
-	t := r.view.Table()
-	if t == nil {
-		return 0
-	}
-	s := t.Service(service)
+	s := r.service(service)
 	if s == nil || s.ColdPerSecond <= 0 {
 		return 0
 	}
 	return s.ColdPerSecond * coldShare / float64(max(fewestRouters, r.peers.Count()))
 }
 
-// hasReporters returns whether reporters stand beside upstreams of the service.
-func (r *Router) hasReporters(service string) bool {
+// service returns the service in the table in force, nil if there is none.
+func (r *Router) service(name string) *routetable.Service {
 	t := r.view.Table()
 	if t == nil {
-		return false
+		return nil
 	}
-	s := t.Service(service)
+	return t.Service(name)
+}
+
+// hasReporters returns whether reporters stand beside upstreams of the service.
+func (r *Router) hasReporters(service string) bool {
+	s := r.service(service)
 	return s != nil && s.Engine != nil
 }
 
-// movableMemory returns the memory of an engine of the service, 0 if its
-// generations cannot be moved.
-func (r *Router) movableMemory(service string) int {
-	t := r.view.Table()
-	if t == nil {
-		return 0
-	}
-	s := t.Service(service)
+// movableEngine returns the engines of the service, nil if their generations
+// cannot be moved.
+func (r *Router) movableEngine(service string) *routetable.Engine {
+	s := r.service(service)
 	if s == nil || s.Engine == nil || !s.Engine.Movable {
-		return 0
+		return nil
 	}
-	return s.Engine.MemoryTokens
+	return s.Engine
 }
 
 // Run serves until the context ends and then shuts down gracefully.
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -81,12 +81,21 @@
 		}
 		c.tried[v.ID] = true
 		if c.Directory.Begin(v.ID, tokens, now) {
+			c.logChoice(v, len(views))
 			return v, func() { c.Directory.End(v.ID, tokens) }, true
 		}
 	}
 	return directory.View{}, nil, false
 }
 
+func (c *call) logChoice(v directory.View, usable int) {
+	c.Log.Emit(eventlog.UpstreamChosen).Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
+		Int64("table_version", c.table.Version()).Int("usable", usable).Bool("reported", v.Reported).
+		Dur("report_age", v.ReportAge).Int("waiting", v.Waiting).Int("running", v.Running).Int("memory_used", v.MemoryUsed).
+		Int("calls", v.Calls).Float64("failure_rate", v.FailureRate).Bool("cold", v.Cold).
+		Dur("time_left", c.deadline.Sub(c.Clock())).Send()
+}
+
 // send sends the request to the upstream and tells what became of it. The
 // answer is nil unless the outcome is answered.
 func (c *call) send(ctx context.Context, v directory.View, request *exchange.Request) (*exchange.Answer, outcome, error) {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -22,6 +22,8 @@
 	target   string
 	// refusing is true while new connections are closed at once.
 	refusing atomic.Bool
+	// delay is added to each piece of data in both directions, in nanoseconds.
+	delay atomic.Int64
 
 	mu sync.Mutex
 	// pairs holds the open connections.
@@ -34,11 +36,16 @@
 	// silent is true from the moment after which the pair forwards nothing and
 	// closes nothing.
 	silent atomic.Bool
+	// answersSilent is the same for the data from the target alone.
+	answersSilent atomic.Bool
 }
 
 // New starts a relay on a free loopback port in front of the target address.
-func New(target string) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Relay, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt starts a relay on the address in front of the target address.
+func NewAt(address, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -55,6 +62,27 @@
 	return r.each(func(p *pair) { p.close() })
 }
 
+// Reset resets all open connections and returns their number.
+func (r *Relay) Reset() int {
+	return r.each(func(p *pair) {
+		for _, c := range []net.Conn{p.caller, p.target} {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+		}
+		p.close()
+	})
+}
+
+// SilenceAnswers stops forwarding from the target to the caller on all open
+// connections, but not the other way, and returns their number.
+func (r *Relay) SilenceAnswers() int {
+	return r.each(func(p *pair) { p.answersSilent.Store(true) })
+}
+
+// Delay adds a delay to each piece of data from now on.
+func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
+
 // Silence stops forwarding on all open connections without closing them, and
 // returns their number. New connections work.
 func (r *Relay) Silence() int {
@@ -105,8 +133,8 @@
 	r.pairs[p] = struct{}{}
 	r.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { p.forward(caller, target) })
-	directions.Go(func() { p.forward(target, caller) })
+	directions.Go(func() { r.forward(p, caller, target, &p.silent) })
+	directions.Go(func() { r.forward(p, target, caller, &p.answersSilent) })
 	directions.Wait()
 	p.close()
 	r.mu.Lock()
@@ -116,11 +144,12 @@
 
 // forward copies one direction until an end closes. A silent pair swallows the
 // bytes and the close.
-func (p *pair) forward(from, to net.Conn) {
+func (r *Relay) forward(p *pair, from, to net.Conn, silent *atomic.Bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if p.silent.Load() {
+		time.Sleep(time.Duration(r.delay.Load()))
+		if p.silent.Load() || silent.Load() {
 			if err != nil {
 				return
 			}
