Refuse at once what a stopping router cannot finish

Ruled out: a request that was in progress at SIGTERM. Change: after SIGTERM a request whose expected end lies after the end of the process is refused as not run, with a short Retry-After, so that its caller comes back to another router in time. The unit test refuses a draft of 940 tokens with 3 s left and takes short ones; it failed before.

--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -79,7 +79,8 @@
 	feed      *reportfeed.Feed
 	budget    *repeatbudget.Budget
 	platform  Platform
-	stopping  atomic.Bool
+	// end is when the process ends, nil until it begins to stop.
+	end atomic.Pointer[time.Time]
 }
 
 // New returns a router that is not serving yet.
@@ -218,7 +219,7 @@
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
 		Directory: r.directory, Pool: r.pool, Budget: r.budget, Relocator: r.relocator, Log: r.log,
-		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Process: life,
+		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopsAt, Process: life,
 	})
 }
 
@@ -238,7 +239,16 @@
 
 // ready reports whether new callers are welcome.
 func (r *Router) ready() bool {
-	return !r.stopping.Load() && r.view.Table() != nil && r.directory.Known()
+	return r.end.Load() == nil && r.view.Table() != nil && r.directory.Known()
+}
+
+// stopsAt returns when the process ends, if it has begun to stop.
+func (r *Router) stopsAt() (time.Time, bool) {
+	end := r.end.Load()
+	if end == nil {
+		return time.Time{}, false
+	}
+	return *end, true
 }
 
 func (r *Router) serveReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -265,14 +275,14 @@
 
 // shutdown lets the requests in progress end within the notice.
 func (r *Router) shutdown(callers *listener.Listener) error {
-	r.stopping.Store(true)
 	began := r.clock()
 	notice := time.Duration(r.notice.Load())
+	end := began.Add(notice - stopMargin)
+	r.end.Store(&end)
 	r.log.Emit(eventlog.ProcessStopping).Dur("notice", notice).Send()
 	callers.CloseAfterAnswers()
 	time.Sleep(min(announceFor, notice/2))
-	left := notice - stopMargin - r.clock().Sub(began)
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		r.log.Emit(eventlog.ShutdownIncomplete).Err(err).Send()
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -45,6 +45,8 @@
 	Log       *eventlog.Log
 	Clock     func() time.Time
 	Metrics   *Metrics
+	// Stopping returns when the process ends, if it has begun to stop.
+	Stopping func() (end time.Time, stopping bool)
 	// Process is the life of the process: work outside a request ends with it.
 	Process context.Context //nolint:containedctx // it outlives every request
 }
@@ -132,7 +134,36 @@
 	}
 	c.promptTokens, c.outputTokens = c.Names.Tokens(c.r.Header)
 	c.setDeadlines()
-	return nil
+	return c.refuseUnfinishable()
+}
+
+const (
+	// tokenTime is the time in which a crowded engine makes a token, and
+	// readingTime that in which it reads a prompt.
+	tokenTime   = 10 * time.Millisecond
+	readingTime = time.Second
+	// stopMargin is kept clear before the end of a stopping process.
+	stopMargin = 500 * time.Millisecond
+)
+
+// refuseUnfinishable refuses a request that would not end before the process
+// does: another router can serve it whole.
+func (c *call) refuseUnfinishable() *refusal {
+	end, stopping := c.Stopping()
+	if !stopping {
+		return nil
+	}
+	last := c.deadline
+	if c.route.Kind == route.Streaming && c.outputTokens > 0 {
+		expected := c.received.Add(readingTime + time.Duration(c.outputTokens)*tokenTime)
+		if expected.Before(last) {
+			last = expected
+		}
+	}
+	if last.Before(end.Add(-stopMargin)) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
 }
 
 func (c *call) authenticate() *refusal {
--- a/internal/request/forwarding/refusal.go
+++ b/internal/request/forwarding/refusal.go
@@ -17,6 +17,8 @@
 	startRetryAfter = 500 * time.Millisecond
 	// busyRetryAfter is the time after which an upstream may have room.
 	busyRetryAfter = 400 * time.Millisecond
+	// stoppingRetryAfter sends callers of a stopping process to another one.
+	stoppingRetryAfter = 60 * time.Millisecond
 	// retrySpread is the part by which the time varies, so that callers do not
 	// come back together.
 	retrySpread = 0.5
--- a/internal/request/forwarding/streaming_test.go
+++ b/internal/request/forwarding/streaming_test.go
@@ -41,6 +41,31 @@
 	require.Equal(t, "seal-of-u-1", response.Header.Get(testNames.Seal))
 }
 
+// Guards against a long stream that a stopping router takes and cuts off: it was
+// taken 3.6 s after SIGTERM and given up at the end of the notice.
+func TestStoppingRouterTakesOnlyWhatItCanFinish(t *testing.T) {
+	h := newHarness(t, streamEvents(1, 3, false))
+	h.end = time.Now().Add(3 * time.Second)
+	for _, c := range []struct {
+		path, tokens string
+		status       int
+	}{
+		{"/draft/x", "3000,940", http.StatusServiceUnavailable},
+		{"/draft/x", "3000,12", http.StatusOK},
+		{"/match/x", "", http.StatusOK},
+		{"/look/x", "", http.StatusOK},
+	} {
+		request := h.request(http.MethodPost, c.path, "")
+		request.Header.Set(testNames.TokenCounts, c.tokens)
+		request.Header.Set(testNames.Deadline, "15000")
+		response := h.do(request)
+		require.Equal(t, c.status, response.StatusCode, "%s with tokens %q", c.path, c.tokens)
+		if c.status != http.StatusOK {
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+		}
+	}
+}
+
 func events(first, last int) string {
 	all := ""
 	for n := first; n <= last; n++ {
