Tell callers of stopping routers to come back when one stays

Change: a stopping router tells its peers when it ends; Retry-After then reaches past the first end if all living routers stop.

--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -42,6 +42,9 @@
 	// contactLost is the age of the store's last answer, to this router or to one
 	// whose items it has, above which the store counts as lost.
 	contactLost = 1100 * time.Millisecond
+	// restartTime is the time from the end of a stopping router until callers
+	// reach it again.
+	restartTime = 1500 * time.Millisecond
 	// maxMessageBytes bounds a message.
 	maxMessageBytes = 32 << 20
 )
@@ -59,6 +62,8 @@
 	// ContactAgeMillis is the age of the store's last answer to the sender, or to
 	// a router that the sender has its items from; negative for never.
 	ContactAgeMillis int64 `json:"contact_age_ms"`
+	// StopsInMillis is the time until the sender ends, 0 if it does not stop.
+	StopsInMillis int64 `json:"stops_in_ms,omitempty"`
 	// UnstableMillis is for how long yet deletions are to be taken as
 	// unconfirmed, as the store was unstable.
 	UnstableMillis int64 `json:"unstable_ms,omitempty"`
@@ -79,6 +84,10 @@
 	seeds []string
 	// heard holds when each peer last showed that it lives.
 	heard map[string]time.Time
+	// ends holds when each stopping peer ends.
+	ends map[string]time.Time
+	// ownEnd is when this router ends, zero if it does not stop.
+	ownEnd time.Time
 	// contact is when the store last answered a router whose items this one has.
 	contact time.Time
 }
@@ -86,7 +95,7 @@
 // New returns a view that knows the seeds only. The address is this router's
 // own.
 func New(self string, seeds []string, m *mirror.Mirror, pool *exchange.Pool, log *eventlog.Log, clock func() time.Time) *Peers {
-	return &Peers{self: self, seeds: seeds, mirror: m, pool: pool, log: log, clock: clock, heard: make(map[string]time.Time)}
+	return &Peers{self: self, seeds: seeds, mirror: m, pool: pool, log: log, clock: clock, heard: make(map[string]time.Time), ends: make(map[string]time.Time)}
 }
 
 // SetSeeds replaces the seeds.
@@ -166,6 +175,51 @@
 	return candidates[:min(readers, len(candidates))]
 }
 
+// Stop tells all peers that this router ends at the given time.
+func (p *Peers) Stop(ctx context.Context, end time.Time) {
+	p.mu.Lock()
+	p.ownEnd = end
+	p.mu.Unlock()
+	var told sync.WaitGroup
+	for _, address := range p.living() {
+		told.Go(func() { p.exchange(ctx, address, 0) })
+	}
+	told.Wait()
+}
+
+// Return returns when a router serves long requests again: at once if one of the
+// others does not stop, otherwise some time after the first of them ends.
+func (p *Peers) Return(now time.Time) time.Duration {
+	living := p.living()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := p.ownEnd
+	for _, address := range living {
+		end, stopping := p.ends[address]
+		if !stopping || end.Before(now) {
+			return 0
+		}
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return max(0, first.Sub(now)) + restartTime
+}
+
+// noteEnd takes over whether the peer stops.
+func (p *Peers) noteEnd(m message) {
+	if m.Address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.StopsInMillis <= 0 {
+		delete(p.ends, m.Address)
+		return
+	}
+	p.ends[m.Address] = p.clock().Add(time.Duration(m.StopsInMillis) * time.Millisecond)
+}
+
 // MustAskStore reports whether this router has to ask the store itself: it is a
 // reader, or no reader has heard from the store lately.
 func (p *Peers) MustAskStore() bool {
@@ -226,6 +280,7 @@
 	for address, at := range p.heard {
 		if now.Sub(at) > lostAfter {
 			delete(p.heard, address)
+			delete(p.ends, address)
 			p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(at)).Send()
 		}
 	}
@@ -273,6 +328,7 @@
 	}
 	p.hear(address)
 	p.learn(answer.Peers)
+	p.noteEnd(answer)
 	if answer.UnstableMillis > 0 {
 		p.mirror.Unstable(p.clock().Add(time.Duration(answer.UnstableMillis) * time.Millisecond))
 	}
@@ -307,6 +363,11 @@
 	if age < 0 {
 		m.ContactAgeMillis = -1
 	}
+	p.mu.Lock()
+	if !p.ownEnd.IsZero() {
+		m.StopsInMillis = max(1, p.ownEnd.Sub(p.clock()).Milliseconds())
+	}
+	p.mu.Unlock()
 	if unstable := p.mirror.UnstableUntil().Sub(p.clock()); unstable > 0 {
 		m.UnstableMillis = unstable.Milliseconds()
 	}
@@ -346,6 +407,7 @@
 	}
 	p.hear(m.Address)
 	p.learn(m.Peers)
+	p.noteEnd(m)
 	p.await(r.Context(), m)
 	batch := p.mirror.Since(m.Revision)
 	reply := p.message(batch.Revision)
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -135,6 +135,22 @@
 	require.True(t, p.storeLost())
 }
 
+// Guards against callers that come back to another router which stops as well.
+func TestReturnOfCallersWaitsForARouterThatStays(t *testing.T) {
+	now := time.Now()
+	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), func() time.Time { return now })
+	p.ownEnd = now.Add(7 * time.Second)
+	p.hear("a:1")
+	p.hear("b:1")
+	require.Zero(t, p.Return(now))
+	p.noteEnd(message{Address: "a:1", StopsInMillis: 3000})
+	require.Zero(t, p.Return(now), "b stays")
+	p.noteEnd(message{Address: "b:1", StopsInMillis: 5000})
+	require.Equal(t, 3*time.Second+restartTime, p.Return(now))
+	p.noteEnd(message{Address: "a:1"})
+	require.Zero(t, p.Return(now), "a has started again")
+}
+
 // Guards against the word of a peer whose items this router lacks.
 func TestContactCountsOnlyWithItsItems(t *testing.T) {
 	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), time.Now)
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -42,6 +42,7 @@
 type freeTurns struct{ taken map[string]bool }
 
 func (freeTurns) Acquire(context.Context, directory.View, string, float64) func() { return func() {} }
+
 func (f freeTurns) TryAcquire(_ context.Context, v directory.View, _ string) (func(), bool) {
 	return func() {}, !f.taken[v.ID]
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -219,7 +219,7 @@
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
 		Directory: r.directory, Pool: r.pool, Budget: r.budget, Relocator: r.relocator, Log: r.log,
-		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopsAt, Process: life,
+		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopsAt, Return: r.peers.Return, Process: life,
 	})
 }
 
@@ -281,6 +281,7 @@
 	r.end.Store(&end)
 	r.log.Emit(eventlog.ProcessStopping).Dur("notice", notice).Send()
 	callers.CloseAfterAnswers()
+	r.peers.Stop(context.Background(), end)
 	time.Sleep(min(announceFor, notice/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -47,6 +47,9 @@
 	Metrics   *Metrics
 	// Stopping returns when the process ends, if it has begun to stop.
 	Stopping func() (end time.Time, stopping bool)
+	// Return returns after how long another router serves long requests, once
+	// this one stops.
+	Return func(now time.Time) time.Duration
 	// Process is the life of the process: work outside a request ends with it.
 	Process context.Context //nolint:containedctx // it outlives every request
 }
@@ -163,7 +166,7 @@
 	if last.Before(end.Add(-stopMargin)) {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter + c.Return(c.received)}
 }
 
 func (c *call) authenticate() *refusal {
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -111,6 +111,7 @@
 		Budget:    repeatbudget.New(repeatbudget.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
 		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
 		Metrics: NewMetrics(tally.NoopScope), Process: t.Context(),
+		Return:   func(time.Time) time.Duration { return 0 },
 		Stopping: func() (time.Time, bool) { return h.end, !h.end.IsZero() },
 	})
 	l, err := listener.New(listener.Options{Address: "127.0.0.1:0"}, h.forwarder)
