Give up copies that are not used; lint the adapter

Cause: a copy ahead of a run that then ended, or whose target had no room at the end, kept memory and a slot at its target until the engine freed it. The new test failed before: no copy was freed.

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -112,6 +112,10 @@
 		6030, "upstream_chosen", zerolog.InfoLevel,
 		"A request goes to an upstream; the inputs of the choice and their age stand beside it.", "none",
 	}
+	CopyNotFreed = Event{
+		6031, "copy_not_freed", zerolog.InfoLevel,
+		"A copy of a generation that is not used could not be given up; the engine frees it after a while.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request failed; the caller got an error or a closed connection.", "Report the stack.",
@@ -130,6 +134,6 @@
 		GenerationMoved, GenerationMoveFailed, PeerFound, PeerLost, LogLinesDropped,
 		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, TurnDecided,
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
-		UpstreamSuperseded, UpstreamChosen,
+		UpstreamSuperseded, UpstreamChosen, CopyNotFreed,
 	}
 }
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -30,6 +30,8 @@
 	moveTimeout = 6 * time.Second
 	// copyTimeout bounds one copy.
 	copyTimeout = 3 * time.Second
+	// freeTimeout bounds the call that gives up a copy.
+	freeTimeout = 500 * time.Millisecond
 	// finalTimeout bounds the final copy, during which nothing is generated.
 	finalTimeout = 2 * time.Second
 )
@@ -240,8 +242,9 @@
 	case errors.Is(err, ErrNoRoom) && result.Handle != "":
 		// The run has stopped; its memory is at the source.
 		r.SetHandoff(Handoff{Target: source, From: m.engines.CopySource(source.Address, result.Handle), Events: result.Events})
-	case errors.Is(err, ErrNoSuchRun):
+	case errors.Is(err, ErrNoSuchRun), errors.Is(err, ErrNoRoom):
 		r.clearHandoff()
+		m.free(source, handle)
 	default:
 		// The order may have been carried out: the copy holds nearly all.
 		r.SetHandoff(Handoff{Target: target, From: m.engines.CopySource(source.Address, handle), Source: source})
@@ -296,6 +299,15 @@
 	return m.engines.Copy(ctx, order)
 }
 
+// free gives up a copy that is not used, so that it does not take memory.
+func (m *Relocator) free(source directory.View, handle string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := m.engines.Free(ctx, source.Address, handle); err != nil {
+		m.log.Emit(eventlog.CopyNotFreed).Str("from", source.ID).Str("handle", handle).Err(err).Send()
+	}
+}
+
 func (m *Relocator) failed(r *Run, source, target directory.View, step string, err error) {
 	if r.isOver() || errors.Is(err, ErrNoSuchRun) {
 		return
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -18,6 +18,7 @@
 type scriptedEngines struct {
 	mu     sync.Mutex
 	orders []CopyOrder
+	freed  []string
 	answer func(n int, o CopyOrder) (Copy, error)
 }
 
@@ -29,7 +30,13 @@
 	return s.answer(n, o)
 }
 
-func (s *scriptedEngines) Free(context.Context, string, string) error { return nil }
+func (s *scriptedEngines) Free(_ context.Context, _, handle string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freed = append(s.freed, handle)
+	return nil
+}
+
 func (s *scriptedEngines) CopySource(source, handle string) string    { return source + "/" + handle }
 
 func (s *scriptedEngines) made() []CopyOrder {
@@ -212,6 +219,25 @@
 	require.False(t, ok)
 }
 
+// Guards against the copy of a run that ended meanwhile and keeps the memory of
+// its target.
+func TestUnusedCopyIsFreed(t *testing.T) {
+	h := newHarness(t, freeTurns{}, func(_ int, o CopyOrder) (Copy, error) {
+		if o.Final {
+			return Copy{}, ErrNoSuchRun
+		}
+		return Copy{Handle: "ahead"}, nil
+	})
+	r := h.run(t, "a")
+	r.Event()
+	h.leave("source")
+	require.Eventually(t, func() bool {
+		h.engines.mu.Lock()
+		defer h.engines.mu.Unlock()
+		return len(h.engines.freed) == 1 && h.engines.freed[0] == "ahead"
+	}, time.Second, time.Millisecond)
+}
+
 // Guards against a run that is moved to an upstream which then leaves too, and is
 // not moved again.
 func TestRunMovesAgainWithItsUpstream(t *testing.T) {
--- a/internal/process/reporter/message.go
+++ b/internal/process/reporter/message.go
@@ -9,10 +9,11 @@
 const (
 	// FeedPath is the path of the stream of reports, a JSON object a line.
 	FeedPath = "/v1/reports"
-	// AcquirePath waits for a turn, TryPath takes it only if it is free, and
-	// ReleasePath gives it back.
+	// AcquirePath waits for a turn.
 	AcquirePath = "/v1/turns/acquire"
-	TryPath     = "/v1/turns/try"
+	// TryPath takes a turn only if it is free.
+	TryPath = "/v1/turns/try"
+	// ReleasePath gives a turn back.
 	ReleasePath = "/v1/turns/release"
 	// HeartbeatInterval is the longest time between two lines of the stream.
 	HeartbeatInterval = 500 * time.Millisecond
