--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -37,7 +37,7 @@
 	return nil
 }
 
-func (s *scriptedEngines) CopySource(source, handle string) string    { return source + "/" + handle }
+func (s *scriptedEngines) CopySource(source, handle string) string { return source + "/" + handle }
 
 func (s *scriptedEngines) made() []CopyOrder {
 	s.mu.Lock()
