--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -8,13 +8,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/request/headers"
 )
 
 const (
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "address service %s", c.address)
 	}
-	request.Header = endToEnd(r.Header)
+	request.Header = headers.EndToEnd(r.Header)
 	if host := r.Header.Get("Host"); host != "" {
 		request.Host = host
 		request.Header.Del("Host")
@@ -118,7 +118,7 @@
 	if len(body) > MaxAnswerBytes {
 		return Answer{}, errors.Wrapf(ErrTooLarge, "call service %s", c.address)
 	}
-	return Answer{Status: response.StatusCode, Header: endToEnd(response.Header), Body: body}, nil
+	return Answer{Status: response.StatusCode, Header: headers.EndToEnd(response.Header), Body: body}, nil
 }
 
 // Reachable reports whether the service accepts connections.
@@ -131,24 +131,3 @@
 	_ = connection.Close()
 	return true
 }
-
-// endToEnd returns the header without the fields that concern one connection
-// (RFC 9110, section 7.6.1).
-func endToEnd(h http.Header) http.Header {
-	kept := h.Clone()
-	if kept == nil {
-		return http.Header{}
-	}
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range []string{
-		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Content-Length",
-	} {
-		kept.Del(name)
-	}
-	return kept
-}
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -55,7 +55,7 @@
 }
 
 func item(revision int64) mirror.Batch {
-	return mirror.Batch{Items: []mirror.Item{{Key: "op/config", Value: []byte("{}"), Revision: revision}}, Revision: revision}
+	return mirror.Batch{Items: []mirror.Item{{Key: "config", Value: []byte("{}"), Revision: revision}}, Revision: revision}
 }
 
 // keepContact acts as the store that answers the nodes that ask it.
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body_unreadable", err: err}
 	}
+	if limit := c.table.Limits().MaxBodyBytes; limit > 0 && len(body) > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	}
 	c.body = body
 	c.header = c.Names.Forward(c.r.Header)
 	if c.account != "" {
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -29,6 +29,8 @@
 	testHost = "orders.example"
 	testKey  = "key-1"
 	testID   = "request-1"
+	// testMaxBody is the bound on a request body in bytes.
+	testMaxBody = 5 << 20
 )
 
 var testNames = headers.Names{
@@ -97,6 +99,7 @@
 	h := &harness{t: t, relocator: &scriptedRelocator{}}
 	h.table = routetable.New(routetable.Content{
 		Version: 1, Routes: testRoutes(), Services: []routetable.Service{{Name: "desk"}},
+		Limits:      routetable.Limits{MaxBodyBytes: testMaxBody},
 		AccountKeys: map[string]routetable.Account{testKey: {Name: "bakery"}},
 	})
 	h.directory = directory.New(eventlog.Discard(), func(string) float64 { return 0 })
--- a/internal/request/forwarding/plain_test.go
+++ b/internal/request/forwarding/plain_test.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// Guards against a body above the limit in force that reaches an upstream.
+func TestBodyIsBounded(t *testing.T) {
+	h := newHarness(t, answerWith(http.StatusOK, "ok"))
+	require.Equal(t, http.StatusOK, h.do(h.request(http.MethodPost, "/order/x", strings.Repeat("x", testMaxBody))).StatusCode)
+	response := h.do(h.request(http.MethodPost, "/order/x", strings.Repeat("x", testMaxBody+1)))
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+}
+
 // Guards against an order that runs twice: after a send whose outcome is unknown
 // there is no second one, and the answer promises nothing.
 func TestOrderWhoseOutcomeIsUnknownIsNotRepeated(t *testing.T) {
@@ -214,6 +222,12 @@
 
 // rawUpstream serves each connection with a function that writes the answers.
 func rawUpstream(t *testing.T, answer func(c net.Conn, r *http.Request, number int)) string {
+	t.Helper()
+	return serveConnections(t, func(c net.Conn) { serveRaw(c, answer) })
+}
+
+// serveConnections serves each connection to the address that it returns.
+func serveConnections(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -224,7 +238,7 @@
 			if err != nil {
 				return
 			}
-			go serveRaw(c, answer)
+			go serve(c)
 		}
 	}()
 	return socket.Addr().String()
@@ -261,20 +275,8 @@
 // an upstream answered early, and against a writer that blocks for ever.
 func TestEarlyAnswerDoesNotSpoilTheConnection(t *testing.T) {
 	var requests atomic.Int32
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = socket.Close() })
-	go func() {
-		for {
-			c, err := socket.Accept()
-			if err != nil {
-				return
-			}
-			go answerEarly(c, &requests)
-		}
-	}()
 	h := newHarness(t)
-	h.list(0, socket.Addr().String())
+	h.list(0, serveConnections(t, func(c net.Conn) { answerEarly(c, &requests) }))
 	for range 2 {
 		response := h.do(h.request(http.MethodPost, "/order/x", strings.Repeat("x", 4<<20)))
 		require.Equal(t, http.StatusBadRequest, response.StatusCode)
