Judge by the declared bound what a stopping router can finish

The hint is right at the median only. Change: the longest output that the request declares decides, not the hint. The test with a short hint failed before (200 in place of 503).

--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -70,9 +70,9 @@
 // be called when the work has ended.
 func (c *call) place(now time.Time) (v directory.View, done func(), ok bool) {
 	request := selection.Request{
-		DataCentre: c.DataCentre, Tokens: c.promptTokens, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
+		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
 	}
-	tokens := c.promptTokens + c.outputTokens
+	tokens := c.sizes.Prompt + c.sizes.Output
 	views := c.Directory.Service(c.service.Name, now)
 	for range views {
 		v, ok := selection.Choose(views, request, rand.Float64)
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -75,8 +75,7 @@
 	// header and body are what upstreams get.
 	header http.Header
 	body   []byte
-	// promptTokens and outputTokens are the sizes by the request's own word.
-	promptTokens, outputTokens int
+	sizes headers.Sizes
 	received                   time.Time
 	// deadline is when the caller gets a final answer at the latest.
 	deadline time.Time
@@ -138,7 +137,7 @@
 	if c.account != "" {
 		c.header.Set(c.Names.Account, c.account)
 	}
-	c.promptTokens, c.outputTokens = c.Names.Tokens(c.r.Header)
+	c.sizes = c.Names.Tokens(c.r.Header)
 	c.setDeadlines()
 	return c.refuseUnfinishable()
 }
@@ -160,10 +159,10 @@
 		return nil
 	}
 	last := c.deadline
-	if c.route.Kind == route.Streaming && c.outputTokens > 0 {
-		expected := c.received.Add(readingTime + time.Duration(c.outputTokens)*tokenTime)
-		if expected.Before(last) {
-			last = expected
+	if c.route.Kind == route.Streaming && c.sizes.MaxOutput > 0 {
+		longest := c.received.Add(readingTime + time.Duration(c.sizes.MaxOutput)*tokenTime)
+		if longest.Before(last) {
+			last = longest
 		}
 	}
 	if last.Before(end.Add(-stopMargin)) {
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -68,7 +68,7 @@
 // upstream.
 func (s *stream) serveFrom(ctx context.Context, v directory.View, done func()) bool {
 	defer done()
-	s.run = relocation.NewRun(s.id, s.service.Name, v, s.promptTokens, s.outputTokens)
+	s.run = relocation.NewRun(s.id, s.service.Name, v, s.sizes.Prompt, s.sizes.Output)
 	s.Relocator.Begin(s.Process, s.run)
 	defer s.Relocator.End(s.run)
 	request := s.request(v, s.Clock())
@@ -189,7 +189,7 @@
 	}
 	s.moves++
 	s.Metrics.resumed(true)
-	tokens := s.promptTokens + s.outputTokens
+	tokens := s.sizes.Prompt + s.sizes.Output
 	s.Directory.Begin(at.ID, tokens, s.Clock())
 	defer s.Directory.End(at.ID, tokens)
 	s.Relocator.Moved(s.Process, s.run, at)
--- a/internal/request/forwarding/streaming_test.go
+++ b/internal/request/forwarding/streaming_test.go
@@ -47,16 +47,18 @@
 	h := newHarness(t, streamEvents(1, 3, false))
 	h.end = time.Now().Add(3 * time.Second)
 	for _, c := range []struct {
-		path, tokens string
-		status       int
+		path, tokens, hint string
+		status             int
 	}{
-		{"/draft/x", "3000,940", http.StatusServiceUnavailable},
-		{"/draft/x", "3000,12", http.StatusOK},
-		{"/match/x", "", http.StatusOK},
-		{"/look/x", "", http.StatusOK},
+		{"/draft/x", "3000,940", "", http.StatusServiceUnavailable},
+		{"/draft/x", "3000,940", "12", http.StatusServiceUnavailable},
+		{"/draft/x", "3000,12", "", http.StatusOK},
+		{"/match/x", "", "", http.StatusOK},
+		{"/look/x", "", "", http.StatusOK},
 	} {
 		request := h.request(http.MethodPost, c.path, "")
 		request.Header.Set(testNames.TokenCounts, c.tokens)
+		request.Header.Set(testNames.LengthHint, c.hint)
 		request.Header.Set(testNames.Deadline, "15000")
 		response := h.do(request)
 		require.Equal(t, c.status, response.StatusCode, "%s with tokens %q", c.path, c.tokens)
--- a/internal/request/headers/headers.go
+++ b/internal/request/headers/headers.go
@@ -111,14 +111,30 @@
 	h.Set(n.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 }
 
-// Tokens returns the tokens of the prompt and an estimate of those of the
-// output, 0 for a request without counts.
-func (n *Names) Tokens(h http.Header) (prompt, output int) {
-	first, second, _ := strings.Cut(h.Get(n.TokenCounts), ",")
-	prompt, _ = strconv.Atoi(strings.TrimSpace(first))
-	output, _ = strconv.Atoi(strings.TrimSpace(second))
-	if hint, err := strconv.Atoi(strings.TrimSpace(h.Get(n.LengthHint))); err == nil && hint > 0 && (output == 0 || hint < output) {
-		output = hint
+// Sizes are the sizes of a generation in tokens by its request's own word, 0 for
+// unknown.
+type Sizes struct {
+	Prompt int
+	// Output is the caller's estimate, which may be far off; MaxOutput bounds it.
+	Output, MaxOutput int
+}
+
+// Tokens returns the sizes of the generation.
+func (n *Names) Tokens(h http.Header) Sizes {
+	prompt, output, _ := strings.Cut(h.Get(n.TokenCounts), ",")
+	s := Sizes{Prompt: count(prompt), MaxOutput: count(output)}
+	s.Output = s.MaxOutput
+	if hint := count(h.Get(n.LengthHint)); hint > 0 && (s.MaxOutput == 0 || hint < s.MaxOutput) {
+		s.Output = hint
+	}
+	return s
+}
+
+// count returns the number in the text, 0 if it holds none.
+func count(text string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || n < 0 {
+		return 0
 	}
-	return prompt, output
+	return n
 }
