--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -73,10 +73,10 @@
 	service *routetable.Service
 	account string
 	// header and body are what upstreams get.
-	header http.Header
-	body   []byte
-	sizes headers.Sizes
-	received                   time.Time
+	header   http.Header
+	body     []byte
+	sizes    headers.Sizes
+	received time.Time
 	// deadline is when the caller gets a final answer at the latest.
 	deadline time.Time
 	// callerDeadline is when the caller stops waiting.
