Remove state that nothing reads from the routing packages

Cause: read-through of the whole change. The time of a turn, the time at which an engine leaves, the memory of a machine, a list of services and a second constructor of the pool had no reader; the failure of an unanswered stream was written twice. Change: they are gone, the twin calls failedLeg, the turn queue takes no time. Behaviour and assertions are as before; unit tests of the packages pass.

--- a/internal/connection/exchange/pool.go
+++ b/internal/connection/exchange/pool.go
@@ -29,11 +29,6 @@
 	maxIdle = 64
 )
 
-// Dialer opens connections.
-type Dialer interface {
-	DialContext(ctx context.Context, network, address string) (net.Conn, error)
-}
-
 // Options are the properties of a pool.
 type Options struct {
 	// DialTimeout bounds the opening of a connection.
@@ -45,7 +40,7 @@
 // Pool holds the connections to all upstreams. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  Dialer
+	dialer  *net.Dialer
 	clock   func() time.Time
 
 	mu   sync.Mutex
@@ -59,11 +54,6 @@
 		Control:         setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
-	return NewWithDialer(options, dialer, clock)
-}
-
-// NewWithDialer returns an empty pool whose connections the dialer opens.
-func NewWithDialer(options Options, dialer Dialer, clock func() time.Time) *Pool {
 	return &Pool{options: options, dialer: dialer, clock: clock, idle: make(map[string][]*connection)}
 }
 
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -65,10 +65,8 @@
 	coldAt     time.Time
 	// suspectUntil is until when the upstream is avoided.
 	suspectUntil time.Time
-	// leaving is true if the upstream itself or a call said so; leavesAt is when
-	// it ends, zero if unknown.
-	leaving  bool
-	leavesAt time.Time
+	// leaving is true if the upstream itself said so.
+	leaving bool
 	// calls and tokens are the work that this process has there.
 	calls  int
 	tokens int
@@ -200,9 +198,6 @@
 	if r.Leaving {
 		u.leaving = true
 	}
-	if r.LeavesIn > 0 {
-		u.leavesAt = now.Add(r.LeavesIn)
-	}
 	departed := !wasLeaving && u.isLeaving(now)
 	d.mu.Unlock()
 	if departed {
@@ -210,7 +205,7 @@
 	}
 }
 
-// SetEvacuated replaces the set of data centres that are out of service.
+// SetEvacuated sets whether the data centre is out of service.
 func (d *Directory) SetEvacuated(dataCentre string, out bool) {
 	d.mu.Lock()
 	changed := d.evacuated[dataCentre] != out
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -84,7 +84,6 @@
 		Suspect:     now.Before(u.suspectUntil),
 		Cold:        u.isCold(coldRate, now),
 		Leaving:     u.isLeaving(now),
-		LeavesAt:    u.leavesAt,
 		Gone:        u.isGone(now),
 	}
 	v.Blocked = v.Cold && u.refillCold(coldRate, now) < 1
--- a/internal/process/directory/view.go
+++ b/internal/process/directory/view.go
@@ -30,10 +30,8 @@
 	Suspect bool
 	// Cold upstreams tolerate only a low rate; Blocked ones have had it.
 	Cold, Blocked bool
-	// Leaving upstreams get no new work; LeavesAt is when they end, zero if
-	// unknown.
-	Leaving  bool
-	LeavesAt time.Time
+	// Leaving upstreams get no new work.
+	Leaving bool
 	// Gone upstreams are no longer on the list.
 	Gone bool
 }
--- a/internal/process/machine/settings.go
+++ b/internal/process/machine/settings.go
@@ -31,7 +31,6 @@
 	UpstreamAddress string
 	// StoreAddress is that of the watched store.
 	StoreAddress   string
-	MemoryBytes    int64
 	MaxDescriptors int
 	// ShutdownNotice is the time between SIGTERM and SIGKILL.
 	ShutdownNotice time.Duration
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -218,9 +218,9 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), turnTimeout)
 	defer cancel()
-	granted := r.turns.Acquire(ctx, turn, r.clock())
+	granted := r.turns.Acquire(ctx, turn)
 	if granted && request.Context().Err() != nil {
-		r.turns.Release(turn.ID, r.clock())
+		r.turns.Release(turn.ID)
 		granted = false
 	}
 	r.answerTurn(w, turn, granted)
@@ -229,7 +229,7 @@
 // serveTry takes a turn that is free.
 func (r *Reporter) serveTry(w http.ResponseWriter, request *http.Request) {
 	if turn, ok := decodeTurn(w, request); ok {
-		r.answerTurn(w, turn, r.turns.TryAcquire(turn, r.clock()))
+		r.answerTurn(w, turn, r.turns.TryAcquire(turn))
 	}
 }
 
@@ -246,7 +246,7 @@
 // serveRelease ends a turn.
 func (r *Reporter) serveRelease(w http.ResponseWriter, request *http.Request) {
 	if turn, ok := decodeTurn(w, request); ok {
-		r.turns.Release(turn.ID, r.clock())
+		r.turns.Release(turn.ID)
 		w.WriteHeader(http.StatusOK)
 	}
 }
--- a/internal/process/turnqueue/turnqueue.go
+++ b/internal/process/turnqueue/turnqueue.go
@@ -29,7 +29,6 @@
 	mu sync.Mutex
 	// holder is the request whose turn it is, empty for none.
 	holder  string
-	since   time.Time
 	waiters []*waiter
 	// timer takes a turn back that is held for too long.
 	timer *time.Timer
@@ -39,12 +38,12 @@
 func New() *Queue { return &Queue{} }
 
 // Acquire waits for the turn. It returns false if the context ends first.
-func (q *Queue) Acquire(ctx context.Context, r Request, now time.Time) bool {
+func (q *Queue) Acquire(ctx context.Context, r Request) bool {
 	w := &waiter{request: r, granted: make(chan struct{})}
 	q.mu.Lock()
 	q.waiters = append(q.waiters, w)
 	sort.SliceStable(q.waiters, func(i, j int) bool { return q.waiters[i].request.Worth > q.waiters[j].request.Worth })
-	q.grant(now)
+	q.grant()
 	q.mu.Unlock()
 	select {
 	case <-w.granted:
@@ -55,14 +54,14 @@
 }
 
 // TryAcquire takes the turn if nobody has it or waits for it.
-func (q *Queue) TryAcquire(r Request, now time.Time) bool {
+func (q *Queue) TryAcquire(r Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.holder != "" || len(q.waiters) > 0 {
 		return false
 	}
 	q.waiters = append(q.waiters, &waiter{request: r, granted: make(chan struct{})})
-	q.grant(now)
+	q.grant()
 	return true
 }
 
@@ -80,14 +79,14 @@
 }
 
 // Release ends the turn of the generation.
-func (q *Queue) Release(id string, now time.Time) {
+func (q *Queue) Release(id string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.holder != id {
 		return
 	}
 	q.free()
-	q.grant(now)
+	q.grant()
 }
 
 // Waiting returns the number of requests that wait.
@@ -106,15 +105,14 @@
 }
 
 // grant gives the turn to the first request if nobody has it.
-func (q *Queue) grant(now time.Time) {
+func (q *Queue) grant() {
 	if q.holder != "" || len(q.waiters) == 0 {
 		return
 	}
 	w := q.waiters[0]
 	q.waiters = q.waiters[1:]
 	q.holder = w.request.ID
-	q.since = now
 	id := q.holder
-	q.timer = time.AfterFunc(maxHold, func() { q.Release(id, time.Now()) })
+	q.timer = time.AfterFunc(maxHold, func() { q.Release(id) })
 	close(w.granted)
 }
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -103,14 +103,7 @@
 	if h, ok := s.run.Continue(ctx); ok {
 		return s.follow(ctx, v, h)
 	}
-	if s.route.MayRepeat() {
-		return false
-	}
-	if s.started {
-		s.breakOff(v, err)
-	}
-	s.refuse(s.outcomeUnknown(v, err))
-	return true
+	return s.failedLeg(v, err)
 }
 
 // relay passes the answer of the first upstream on and follows the run to
--- a/internal/version/routetable/routetable.go
+++ b/internal/version/routetable/routetable.go
@@ -116,9 +116,6 @@
 // Service returns the service of the name, nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services returns all services.
-func (t *Table) Services() []Service { return t.content.Services }
-
 // NeedsKey reports whether requests for the route must bear a key.
 func (t *Table) NeedsKey(r *route.Route) bool { return t.content.AccountKeys != nil && !r.Public }
 
