Let a revocation speak for all attempts with the key

Cause: a gateway that lost its link revokes its attempt. If the sidecar had not seen that attempt (it was paused, and the revocation overtook the offer), the ledger knew it by its identifier alone and answered revoked, although an earlier attempt with the same key ran. The second caller got 503 not_run for an order that had run.

Ruled out: refusing in the gateway (it cannot know of the other gateway's attempt); barring the key after a revocation (a caller who was told not_run may repeat it).

Change: the revocation carries account and key. An unseen attempt joins the executor of its key; without one its state is unknown, as another attempt may be on its way. A revoked attempt whose key was taken up again shares the state of the attempt that took it.

Before: TestRevocationOfAnUnseenAttemptSpeaksForItsKey hung, as the answer was revoked; the property test TestAttemptsRunAtMostOnce, which now also asks that no order has run when a revocation says so, failed.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -160,9 +160,9 @@
 }
 
 // Revoke marks the attempt revoked unless it was started, and returns its state.
-func (c *Client) Revoke(ctx context.Context, address, id, incarnation string) (attempt.Status, error) {
+func (c *Client) Revoke(ctx context.Context, address, id string, r attempt.Revocation) (attempt.Status, error) {
 	var status attempt.Status
-	err := c.call(ctx, http.MethodPost, address, "/v1/attempts/"+url.PathEscape(id)+"/revoke", attempt.Revocation{BoundIncarnation: incarnation}, &status)
+	err := c.call(ctx, http.MethodPost, address, "/v1/attempts/"+url.PathEscape(id)+"/revoke", r, &status)
 	return status, err
 }
 
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -155,7 +155,7 @@
 		if id != "" {
 			return s.gateway.links.Cancel(ctx, i.SidecarAddress, id)
 		}
-		_, err := s.gateway.links.Revoke(ctx, i.SidecarAddress, a.ID, "")
+		_, err := s.gateway.links.Revoke(ctx, i.SidecarAddress, a.ID, attempt.Revocation{})
 		return err
 	})
 }
--- a/internal/process/gateway/order.go
+++ b/internal/process/gateway/order.go
@@ -169,7 +169,7 @@
 func (s *session) inquireOrder(i instance.Instance, a *attempt.Attempt) result {
 	ctx := context.WithoutCancel(s.ctx)
 	ask := func() (attempt.Status, error) {
-		return s.gateway.links.Revoke(ctx, i.SidecarAddress, a.ID, a.BoundIncarnation)
+		return s.gateway.links.Revoke(ctx, i.SidecarAddress, a.ID, attempt.RevocationOf(a))
 	}
 	for silent := 0; silent < inquiryTries; {
 		status, err := ask()
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -129,13 +129,16 @@
 	if o.Key == "" {
 		return l.offerAttempt(o, "", now)
 	}
-	o.Key = o.Account + "\x00" + o.Key
+	o.Key = scopedKey(o.Account, o.Key)
 	s := l.keyShard(o.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return l.offerKey(s, o, now)
 }
 
+// scopedKey returns the key as the ledger knows it: accounts share no keys.
+func scopedKey(account, key string) string { return account + "\x00" + key }
+
 // offerKey needs the lock of the key's shard.
 func (l *Ledger) offerKey(s *keyShard, o Offer, now time.Time) (Verdict, string) {
 	executor, known := s.executors[o.Key]
@@ -229,6 +232,9 @@
 		return Foreign, ""
 	case r.state == attempt.StateRevoked:
 		return Revoked, ""
+	case r.unseen && r.executor != "":
+		// The key's executor was compared with the request.
+		return Joined, r.executor
 	case r.account != o.Account || r.fingerprint != o.Fingerprint:
 		return Conflicting, ""
 	case r.executor != "":
@@ -302,36 +308,54 @@
 }
 
 // Revoke marks an attempt that has not been started, seen or not, and returns
-// its state. The binding is the one that the attempt carries. An attempt that
-// joined another revokes that one, because both are the same order. The state
-// of an unseen attempt is unknown, although it is marked, if its binding is not
-// honoured: another incarnation may have run it.
-func (l *Ledger) Revoke(id, binding string, now time.Time) View {
-	view, executor := l.revoke(id, binding, now)
+// its state. An attempt that joined another revokes that one, because both are
+// the same order; so does an unseen one whose key has an executor. The state of
+// an unseen attempt is unknown, although it is marked, if its binding is not
+// honoured, as another incarnation may have run it, or if it has a key, as
+// another attempt of the same order may be on its way.
+func (l *Ledger) Revoke(r Revocation, now time.Time) View {
+	view, executor := l.revokeKeyed(r, now)
 	if executor == "" {
 		return view
 	}
-	view, _ = l.revoke(executor, binding, now)
+	view, _ = l.revoke(Revocation{ID: executor, Binding: r.Binding}, "", now)
 	return view
 }
 
-func (l *Ledger) revoke(id, binding string, now time.Time) (view View, executor string) {
-	s := l.attemptShard(id)
+// revokeKeyed revokes the attempt, or returns the executor of its order.
+func (l *Ledger) revokeKeyed(r Revocation, now time.Time) (view View, executor string) {
+	if r.Key == "" {
+		return l.revoke(r, "", now)
+	}
+	key := scopedKey(r.Account, r.Key)
+	s := l.keyShard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.records[id]
+	return l.revoke(r, s.executors[key], now)
+}
+
+// revoke marks the attempt; an unseen one joins the executor of its key, empty
+// for none.
+func (l *Ledger) revoke(o Revocation, keyExecutor string, now time.Time) (view View, executor string) {
+	s := l.attemptShard(o.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[o.ID]
 	if r == nil {
-		r = l.markUnseen(s, id, now)
+		r = l.markUnseen(s, o, keyExecutor, now)
 	}
 	switch {
 	case r == nil:
 		return View{State: attempt.StateUnknown}, ""
-	case r.executor != "":
+	case r.executor != "" && keyExecutor == "":
 		return View{}, r.executor
+	case keyExecutor != "" && keyExecutor != o.ID && (r.executor != "" || r.state == attempt.StateRevoked):
+		// It may have taken the order up after the attempt's own executor was revoked.
+		return View{}, keyExecutor
 	case r.state == attempt.StateQueued:
 		r.settle(attempt.StateRevoked, nil, now)
 	}
-	if r.unseen && (binding == "" || !l.honours(binding, time.Time{}, now)) {
+	if r.unseen && (o.Key != "" || o.Binding == "" || !l.honours(o.Binding, time.Time{}, now)) {
 		return View{State: attempt.StateUnknown}, ""
 	}
 	return r.view(), ""
@@ -339,13 +363,14 @@
 
 // markUnseen records an attempt that was not offered yet. It returns nil if
 // there is no room.
-func (l *Ledger) markUnseen(s *attemptShard, id string, now time.Time) *record {
+func (l *Ledger) markUnseen(s *attemptShard, o Revocation, executor string, now time.Time) *record {
 	if !l.reserve() {
 		return nil
 	}
-	r := newRecord(Offer{ID: id}, l.observe(now))
+	r := newRecord(Offer{ID: o.ID, Account: o.Account}, l.observe(now))
 	r.unseen = true
-	s.records[id] = r
+	r.executor = executor
+	s.records[o.ID] = r
 	return r
 }
 
@@ -364,7 +389,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.records[id]
-	if r == nil || r.unseen {
+	if r == nil || (r.unseen && r.executor == "") {
 		return View{State: attempt.StateUnknown}, ""
 	}
 	return r.view(), r.executor
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -113,8 +113,14 @@
 
 func (m *model) revoke() {
 	i, ok := m.draw()
-	if ok && m.ledger.Revoke(m.offers[i].ID, m.offers[i].Binding, m.now).State == attempt.StateRevoked {
-		m.revoked[m.offers[i].ID] = true
+	if !ok {
+		return
+	}
+	o := m.offers[i]
+	r := ledger.Revocation{ID: o.ID, Binding: o.Binding, Account: o.Account, Key: o.Key}
+	if m.ledger.Revoke(r, m.now).State == attempt.StateRevoked {
+		m.revoked[o.ID] = true
+		require.Zero(m.t, m.orders[m.owner[i]].runs, "order of attempt %s has run", o.ID)
 	}
 }
 
@@ -191,7 +197,7 @@
 	require.Equal(t, ledger.Joined, verdict)
 	require.Equal(t, "a1", executor)
 	require.False(t, l.Start("a2"))
-	require.Equal(t, attempt.StateRunning, l.Revoke("a2", l.Binding(now), now).State)
+	require.Equal(t, attempt.StateRunning, l.Revoke(ledger.Revocation{ID: "a2", Binding: l.Binding(now)}, now).State)
 	verdict, _ = l.Offer(offer(l, "a3", "bakery", "k", "other", now), now)
 	require.Equal(t, ledger.Conflicting, verdict)
 	l.Finish("a1", ledger.Result{Status: 201, Body: []byte("booked")}, now)
@@ -217,7 +223,7 @@
 	require.Equal(t, ledger.Full, verdict)
 	verdict, _ = l.Offer(offer(l, "a4", "bakery", "a1", "f", now), now)
 	require.Equal(t, ledger.Foreign, verdict, "the order ran and must not be refused as not run")
-	require.Equal(t, attempt.StateUnknown, l.Revoke("a5", l.Binding(now), now).State)
+	require.Equal(t, attempt.StateUnknown, l.Revoke(ledger.Revocation{ID: "a5", Binding: l.Binding(now)}, now).State)
 	l.Forget(lifetime, now.Add(lifetime+ledger.Window))
 	require.Zero(t, l.Len())
 }
@@ -242,7 +248,7 @@
 	now := time.Unix(1000, 0)
 	l := ledger.New("inc", 10, 100, now)
 	old := ledger.New("old", 10, 100, now)
-	require.Equal(t, attempt.StateUnknown, l.Revoke("a1", old.Binding(now), now).State)
+	require.Equal(t, attempt.StateUnknown, l.Revoke(ledger.Revocation{ID: "a1", Binding: old.Binding(now)}, now).State)
 	verdict, _ := l.Offer(offer(old, "a1", "bakery", "", "f", now), now)
 	require.Equal(t, ledger.Foreign, verdict)
 }
@@ -296,7 +302,7 @@
 	l := ledger.New("inc", 10, 100, now)
 	first := offer(l, "a1", "bakery", "k", "f", now)
 	l.Offer(first, now)
-	require.Equal(t, attempt.StateRevoked, l.Revoke("a1", l.Binding(now), now).State)
+	require.Equal(t, attempt.StateRevoked, l.Revoke(ledger.Revocation{ID: "a1", Binding: l.Binding(now)}, now).State)
 	verdict, _ := l.Offer(offer(l, "a2", "bakery", "k", "f", now), now)
 	require.Equal(t, ledger.Accepted, verdict)
 	verdict, _ = l.Offer(first, now)
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -57,6 +57,16 @@
 	Deduplicated bool
 }
 
+// Revocation is what the ledger needs to know of an attempt to revoke it.
+type Revocation struct {
+	// ID is the attempt's identifier.
+	ID string
+	// Binding is the binding that the attempt carries, empty for none.
+	Binding string
+	// Account and Key are those of the attempt's offer.
+	Account, Key string
+}
+
 // Result is the upstream's answer to an attempt. It must not be changed.
 type Result struct {
 	// GenerationID names the tokens of a generation; the other fields are the
--- a/internal/process/sidecar/dispatch.go
+++ b/internal/process/sidecar/dispatch.go
@@ -111,7 +111,7 @@
 func (s *Sidecar) revoke(st *stage, j *job, refusal problem.Problem, now time.Time) {
 	j.refusal.Store(&refusal)
 	st.queue.Discard(j.attempt.ID)
-	view := s.ledger.Revoke(j.attempt.ID, j.attempt.BoundIncarnation, now)
+	view := s.ledger.Revoke(s.revocationOf(j.attempt), now)
 	if view.State == attempt.StateRevoked {
 		s.decided(j.attempt, "queue", "revoked", refusal.Detail)
 		s.jobs.remove(j.attempt.ID)
--- a/internal/process/sidecar/endpoints.go
+++ b/internal/process/sidecar/endpoints.go
@@ -66,7 +66,9 @@
 			return
 		}
 	}
-	view := s.ledger.Revoke(id, revocation.BoundIncarnation, s.clock())
+	view := s.ledger.Revoke(ledger.Revocation{
+		ID: id, Binding: revocation.BoundIncarnation, Account: revocation.Account, Key: s.keyScope(revocation.OrderKey),
+	}, s.clock())
 	s.signal()
 	writeJSON(w, statusOf(view))
 }
--- a/internal/process/sidecar/harness_test.go
+++ b/internal/process/sidecar/harness_test.go
@@ -180,7 +180,7 @@
 
 func (h *harness) revoke(a *attempt.Attempt) attempt.Status {
 	var status attempt.Status
-	revocation := attempt.Revocation{BoundIncarnation: a.BoundIncarnation}
+	revocation := attempt.RevocationOf(a)
 	require.Equal(h.t, http.StatusOK, h.call(http.MethodPost, "/v1/attempts/"+a.ID+"/revoke", revocation, &status))
 	return status
 }
--- a/internal/process/sidecar/offers.go
+++ b/internal/process/sidecar/offers.go
@@ -75,8 +75,8 @@
 // with a key may have run elsewhere.
 func (s *Sidecar) notServed(a *attempt.Attempt, now time.Time) problem.Problem {
 	if !a.Repeatable {
-		view := s.ledger.Revoke(a.ID, a.BoundIncarnation, now)
-		if a.OrderKey != "" || view.State != attempt.StateRevoked {
+		view := s.ledger.Revoke(s.revocationOf(a), now)
+		if view.State != attempt.StateRevoked {
 			return problem.Unknown("not_served", "this sidecar is not of the service or has no configuration yet")
 		}
 	}
@@ -117,7 +117,7 @@
 	if err != nil {
 		return o, err
 	}
-	o.Key = a.Service + "\x00" + a.OrderKey
+	o.Key = s.keyScope(a.OrderKey)
 	if svc.Orders.UpstreamDeduplicates {
 		o.Deduplicated = true
 		return o, nil
@@ -133,6 +133,20 @@
 	return o, nil
 }
 
+// keyScope returns the key as the ledger knows it within an account, empty for
+// none.
+func (s *Sidecar) keyScope(orderKey string) string {
+	if orderKey == "" {
+		return ""
+	}
+	return s.settings.Service + "\x00" + orderKey
+}
+
+func (s *Sidecar) revocationOf(a *attempt.Attempt) ledger.Revocation {
+	r := attempt.RevocationOf(a)
+	return ledger.Revocation{ID: a.ID, Binding: r.BoundIncarnation, Account: r.Account, Key: s.keyScope(r.OrderKey)}
+}
+
 func rulesOf(svc *service.Service) quarantine.Rules {
 	return quarantine.Rules{
 		Lifetime:  svc.KeyLifetime(),
@@ -218,7 +232,7 @@
 // queued, so that "not run" stays true for later copies. The owner alone starts
 // an attempt, so that it is still queued.
 func (s *Sidecar) refuseAccepted(w http.ResponseWriter, a *attempt.Attempt, refusal problem.Problem, now time.Time) {
-	s.ledger.Revoke(a.ID, a.BoundIncarnation, now)
+	s.ledger.Revoke(s.revocationOf(a), now)
 	s.refuse(w, refusal, a)
 }
 
--- a/internal/process/sidecar/orders_test.go
+++ b/internal/process/sidecar/orders_test.go
@@ -70,6 +70,26 @@
 	require.Zero(t, upstream.calls.Load())
 }
 
+// Guards against "not run" for a second attempt whose copy has not come, while
+// the order of its key runs or has run, and for one whose key another attempt
+// may still bring.
+func TestRevocationOfAnUnseenAttemptSpeaksForItsKey(t *testing.T) {
+	upstream := newFakeService(t, true)
+	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	key := h.mint()
+	first := h.offer(context.Background(), h.order(key))
+	require.Equal(t, frame.KindAccepted, first.next().Kind)
+	h.await(func() bool { return upstream.calls.Load() == 1 })
+	second := h.order(key)
+	require.Equal(t, attempt.StateRunning, h.revoke(second).State)
+	close(upstream.hold)
+	require.Equal(t, frame.KindResponse, first.last().Kind)
+	require.Equal(t, "booking 1", string(h.query(second.ID).Response.Body))
+	require.Equal(t, "booking 1", string(h.revoke(h.order(key)).Response.Body))
+	require.Equal(t, attempt.StateUnknown, h.revoke(h.order(h.mint())).State)
+	require.EqualValues(t, 1, upstream.calls.Load())
+}
+
 // Guards against "not run" for an order that the upstream read before it died,
 // and against a repetition of that order.
 func TestUpstreamDiesDuringAnOrder(t *testing.T) {
--- a/internal/request/attempt/status.go
+++ b/internal/request/attempt/status.go
@@ -26,6 +26,21 @@
 	// has not seen is marked as revoked, but its state is reported as unknown:
 	// another incarnation may have run it.
 	BoundIncarnation string `json:"bound_incarnation,omitempty"`
+	// Account and OrderKey are the attempt's. With them, the answer holds for all
+	// attempts with the key, not for this one alone.
+	Account  string `json:"account,omitempty"`
+	OrderKey string `json:"order_key,omitempty"`
+}
+
+// RevocationOf returns the revocation of the attempt. A repeatable attempt's
+// key is the upstream's concern.
+func RevocationOf(a *Attempt) Revocation {
+	r := Revocation{BoundIncarnation: a.BoundIncarnation}
+	if !a.Repeatable {
+		r.Account = a.Account
+		r.OrderKey = a.OrderKey
+	}
+	return r
 }
 
 // MintedKey is the answer to a request for an order key.
