Answer or abort a request that the process ends before its upstream answers

When the context of a request ends, the handler took its caller for gone and returned without an answer; if the connection is still open, because a stopping process ends its requests before it closes their connections, the listener sends its default.

Change: a request that ends with the process gets 502, as it may have run; that of a caller who has gone is aborted, so that no default answer is sent.

Before: TestUnansweredRequestOfAnEndedProcessFails and TestUnansweredRequestOfAGoneCallerIsAborted failed on streams and plain requests. After: both pass.

--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,8 +48,8 @@
 	relocator *scriptedRelocator
 	listener  *listener.Listener
 	table     *routetable.Table
-	// end is when the router ends, zero if it does not stop.
-	end time.Time
+	// end is when the router ends, nil if it does not stop.
+	end atomic.Pointer[time.Time]
 }
 
 // scriptedRelocator hands the runs to the test.
@@ -115,7 +116,12 @@
 		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
 		Metrics: NewMetrics(tally.NoopScope), Process: t.Context(),
 		Return:   func(time.Time) time.Duration { return 0 },
-		Stopping: func() (time.Time, bool) { return h.end, !h.end.IsZero() },
+		Stopping: func() (time.Time, bool) {
+			if end := h.end.Load(); end != nil {
+				return *end, true
+			}
+			return time.Time{}, false
+		},
 	})
 	l, err := listener.New(listener.Options{Address: "127.0.0.1:0"}, h.forwarder)
 	require.NoError(t, err)
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -35,7 +35,7 @@
 		answer, result, err := c.attemptPlain(ctx, v)
 		done()
 		if c.callerLeft() {
-			c.abandoned(v)
+			c.leave(v)
 			return
 		}
 		c.note(result)
--- a/internal/request/forwarding/refusal.go
+++ b/internal/request/forwarding/refusal.go
@@ -88,6 +88,19 @@
 		Int64("table_version", c.table.Version()).Err(err).Send()
 }
 
+// leave ends a request without an answer whose context has ended: the caller has
+// gone, or the process ends its requests before it closes their connections. An
+// empty answer would look like a success. It returns only if the request has got
+// an answer.
+func (c *call) leave(v directory.View) {
+	if _, stopping := c.Stopping(); stopping {
+		c.refuse(refusal{status: http.StatusBadGateway, reason: "process_ended", upstream: v.ID})
+		return
+	}
+	c.abandoned(v)
+	panic(http.ErrAbortHandler)
+}
+
 // abandoned records that the caller has gone.
 func (c *call) abandoned(v directory.View) {
 	c.Metrics.abandoned()
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -305,14 +305,15 @@
 		Dur("longest_gap", s.longestGap).Dur("took", took).Int64("table_version", s.table.Version()).Send()
 }
 
-// leave ends a request whose caller has gone. A stream that has begun must not
-// be ended properly all the same: the caller may be there after all, as when the
-// process ends its requests before it closes their connections.
+// leave ends a request whose context has ended. A stream that has begun is
+// broken off, so that its part does not look whole. It returns only if the
+// request has got another answer.
 func (s *stream) leave(v directory.View) {
-	s.abandoned(v)
 	if s.started {
+		s.abandoned(v)
 		panic(http.ErrAbortHandler)
 	}
+	s.call.leave(v)
 }
 
 // giveUp ends a request that no upstream completed.
--- a/internal/request/forwarding/streaming_test.go
+++ b/internal/request/forwarding/streaming_test.go
@@ -31,6 +31,39 @@
 	})
 }
 
+// Guards against an empty 200 for a request that the process ended before its
+// upstream answered: the handler returned without an answer, and the listener
+// sent its default.
+func TestUnansweredRequestOfAnEndedProcessFails(t *testing.T) {
+	for _, path := range []string{"/draft/x", "/match/x", "/look/x", "/order/x"} {
+		h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		ctx, cancel := context.WithCancel(t.Context())
+		request := h.request(http.MethodPost, path, "").WithContext(ctx)
+		request.RequestURI = path
+		time.AfterFunc(50*time.Millisecond, func() {
+			h.end.Store(&ended)
+			cancel()
+		})
+		answer := httptest.NewRecorder()
+		h.forwarder.ServeHTTP(answer, request)
+		require.Equal(t, http.StatusBadGateway, answer.Code, path)
+	}
+}
+
+// Guards against a default answer on the connection of a caller that has gone.
+func TestUnansweredRequestOfAGoneCallerIsAborted(t *testing.T) {
+	for _, path := range []string{"/draft/x", "/look/x"} {
+		h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		ctx, cancel := context.WithCancel(t.Context())
+		request := h.request(http.MethodPost, path, "").WithContext(ctx)
+		request.RequestURI = path
+		time.AfterFunc(50*time.Millisecond, cancel)
+		require.PanicsWithValue(t, http.ErrAbortHandler, func() {
+			h.forwarder.ServeHTTP(httptest.NewRecorder(), request)
+		}, path)
+	}
+}
+
 // Guards against events that are lost, changed or sent twice on the way.
 func TestStreamIsPassedOnWhole(t *testing.T) {
 	h := newHarness(t, streamEvents(1, 50, false))
@@ -45,7 +78,8 @@
 // taken 3.6 s after SIGTERM and given up at the end of the notice.
 func TestStoppingRouterTakesOnlyWhatItCanFinish(t *testing.T) {
 	h := newHarness(t, streamEvents(1, 3, false))
-	h.end = time.Now().Add(3 * time.Second)
+	end := time.Now().Add(3 * time.Second)
+	h.end.Store(&end)
 	for _, c := range []struct {
 		path, tokens, hint string
 		status             int
@@ -68,6 +102,9 @@
 	}
 }
 
+// ended is when a process has ended that began to stop long ago.
+var ended = time.Now()
+
 func events(first, last int) string {
 	all := ""
 	for n := first; n <= last; n++ {
