Place by what engines have claimed, not by what they look like when listed

(2) When no asked target was free, all routers fell back to the best one. (3) An engine without room for a prompt looked a little fuller than others, though the prompt waits there until memory is free, and generations are preempted.

Ruled out: age of reports (20 to 90 ms in the median); a steeper rise from 80% of the memory (late streams went from full engines to queues, no gain).

Change: an upstream without a report counts as the mean of the others and a prompt; targets of moves have reported, and are drawn from those that were asked if none is free; memory in use includes that claimed by queued prompts, and beyond 95% each further share counts. The choice logs how many have room.

TestUnreportedUpstreamIsNotTakenForEmpty, TestTargetHasReported and TestTargetsInUseAreSpread failed first.

--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -181,42 +181,53 @@
 	}
 }
 
-// target chooses an upstream whose link is free, or the best one if none is.
+// target chooses an upstream whose link is free. If none is, it draws one of
+// those that were asked, so that the routers do not all take the same one.
 func (m *Relocator) target(ctx context.Context, r *Run, engine *routetable.Engine, source directory.View, tried map[string]bool) (directory.View, func(), bool) {
 	request := selection.Request{
 		DataCentre: source.DataCentre, Tokens: r.tokens(engine.EventTokens), MemoryTokens: engine.MemoryTokens,
 		Exclude: maps.Clone(tried), StayPenalty: moveStayPenalty,
 	}
 	views := withRoom(m.directory.Service(r.service, m.clock()), request)
-	var best directory.View
-	for asked := range maxAsked {
+	var asked []directory.View
+	for range maxAsked {
 		v, ok := selection.Choose(views, request, m.draw)
 		if !ok {
 			break
 		}
-		if asked == 0 {
-			best = v
-		}
+		asked = append(asked, v)
 		if release, free := m.turns.TryAcquire(ctx, v, r.requestID); free {
 			return v, release, true
 		}
 		request.Exclude[v.ID] = true
 	}
-	return best, func() {}, best.ID != ""
+	if len(asked) == 0 {
+		return directory.View{}, nil, false
+	}
+	return asked[int(m.draw()*float64(len(asked)))], func() {}, true
 }
 
-// withRoom returns the upstreams that have room, or all if none is known to.
+// withRoom returns the upstreams that report room, else those that may have it,
+// else all.
 func withRoom(views []directory.View, r selection.Request) []directory.View {
-	var roomy []directory.View
+	var reported, unknown []directory.View
 	for _, v := range views {
-		if selection.HasRoom(&v, r) {
-			roomy = append(roomy, v)
+		switch {
+		case r.Exclude[v.ID] || !selection.HasRoom(&v, r):
+		case v.Reported:
+			reported = append(reported, v)
+		default:
+			unknown = append(unknown, v)
 		}
 	}
-	if len(roomy) == 0 {
+	switch {
+	case len(reported) > 0:
+		return reported
+	case len(unknown) > 0:
+		return unknown
+	default:
 		return views
 	}
-	return roomy
 }
 
 // moveStayPenalty is the load that is accepted at the target for a copy within
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -106,6 +106,49 @@
 	return final
 }
 
+// Guards against runs of several upstreams that are all copied to one that has
+// just been listed and has not reported: six copies over one link took longer
+// than the notice of 1.5 s, and each held up the others of its upstream.
+func TestTargetHasReported(t *testing.T) {
+	h := newHarness(t, freeTurns{}, quickCopies)
+	h.directory.Report("far", directory.Report{Running: 3, MemoryUsed: 500, MemoryTotal: 1000}, time.Now())
+	r := h.run(t, "r1")
+	r.Event()
+	h.leave("source")
+	require.Equal(t, "far", handoff(t, r).Target.ID)
+}
+
+// Guards against a choice that falls back to one and the same upstream for all
+// routers when the links of all that were asked are in use.
+func TestTargetsInUseAreSpread(t *testing.T) {
+	chosen := map[string]bool{}
+	for i := range 8 {
+		h := newHarness(t, freeTurns{taken: map[string]bool{"near": true, "far": true}}, quickCopies)
+		h.relocator.draw = func() float64 { return float64(i) / 8 }
+		r := h.run(t, "r1")
+		r.Event()
+		h.leave("source")
+		chosen[handoff(t, r).Target.ID] = true
+	}
+	require.Equal(t, map[string]bool{"near": true, "far": true}, chosen)
+}
+
+// quickCopies carries out each copy at once.
+func quickCopies(int, CopyOrder) (Copy, error) { return Copy{Handle: "h", Events: 1}, nil }
+
+// handoff waits for where the run goes on.
+func handoff(t *testing.T, r *Run) Handoff {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.handoff != nil && !r.moving
+	}, 2*time.Second, time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return *r.handoff
+}
+
 // Guards against a run that is stopped while much of it is still to be copied,
 // which its caller sees as a pause.
 func TestRunIsStoppedOnlyAfterAQuickCopy(t *testing.T) {
--- a/internal/process/selection/selection.go
+++ b/internal/process/selection/selection.go
@@ -17,9 +17,17 @@
 	tolerableFailures = 0.2
 	// coldPenalty prefers warm upstreams.
 	coldPenalty = 0.5
+	// unreportedPenalty is the load beyond the mean that an upstream without a
+	// report is taken to have.
+	unreportedPenalty = 0.4
 	// waitingLoad is the load of a prompt that is still to be read: it delays both
 	// the next prompt and all generations under way.
 	waitingLoad = 0.4
+	// amplyFree is the share of the memory in use, the request's prompt included, up
+	// to which all requests find room, and pressureLoad the load for each further
+	// share.
+	amplyFree    = 0.95
+	pressureLoad = 9.0
 	// unreportedShare is the load that one call of this process stands for, as a
 	// share of an upstream's slots, if the upstream has not reported.
 	unreportedShare = 4.0
@@ -45,13 +53,13 @@
 func Choose(views []directory.View, r Request, draw func() float64) (directory.View, bool) {
 	best := -1
 	bestScore := 0.0
-	lowest := lowestFailures(views, r)
+	known := survey(views, r)
 	for i := range views {
 		v := &views[i]
 		if r.Exclude[v.ID] || v.Blocked || v.Leaving {
 			continue
 		}
-		score := score(v, r, lowest) + draw()*jitter
+		score := score(v, r, known) + draw()*jitter
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
@@ -66,18 +74,46 @@
 // keeps routers with equal views apart.
 const jitter = 0.08
 
-func lowestFailures(views []directory.View, r Request) float64 {
-	lowest := 1.0
+// known is what the views say of a service as a whole.
+type known struct {
+	// lowestFailures is the failure rate of the best upstream.
+	lowestFailures float64
+	// load is the mean load of the upstreams that have reported, 0 if none has.
+	load     float64
+	reported int
+}
+
+func survey(views []directory.View, r Request) known {
+	k := known{lowestFailures: 1}
 	for i := range views {
-		if !r.Exclude[views[i].ID] {
-			lowest = min(lowest, views[i].FailureRate)
+		v := &views[i]
+		if !r.Exclude[v.ID] {
+			k.lowestFailures = min(k.lowestFailures, v.FailureRate)
 		}
+		if v.Reported {
+			k.load += Load(v, r.MemoryTokens)
+			k.reported++
+		}
+	}
+	if k.reported > 0 {
+		k.load /= float64(k.reported)
+	}
+	return k
+}
+
+// loadOf returns the load of the upstream. One that has not reported while
+// others have is not empty: all routers find it at the same time.
+func (k known) loadOf(v *directory.View, r Request) float64 {
+	load := Load(v, r.MemoryTokens)
+	if v.Reported || k.reported == 0 {
+		return load
 	}
-	return lowest
+	return max(load, k.load) + unreportedPenalty
 }
 
-func score(v *directory.View, r Request, lowestFailures float64) float64 {
-	s := Load(v, r.MemoryTokens)
+func score(v *directory.View, r Request, k known) float64 {
+	s := k.loadOf(v, r)
+	s += memoryPressure(v, r)
 	if v.DataCentre != r.DataCentre {
 		penalty := remotePenalty
 		if r.StayPenalty > 0 {
@@ -88,7 +124,7 @@
 	if v.Suspect {
 		s += suspectPenalty
 	}
-	if excess := v.FailureRate - lowestFailures; excess > tolerableFailures {
+	if excess := v.FailureRate - k.lowestFailures; excess > tolerableFailures {
 		s += failurePenalty * excess
 	}
 	if v.Cold {
@@ -125,3 +161,26 @@
 	total := max(v.MemoryTotal, r.MemoryTokens)
 	return v.Running+v.Waiting < v.Slots && (total == 0 || v.MemoryUsed+r.Tokens <= total)
 }
+
+// memoryPressure returns the load that stands for a request's wait for memory,
+// and for the generations that yield theirs when it runs out.
+func memoryPressure(v *directory.View, r Request) float64 {
+	total := max(v.MemoryTotal, r.MemoryTokens)
+	if total == 0 || !v.Reported {
+		return 0
+	}
+	used := float64(v.MemoryUsed+r.Tokens) / float64(total)
+	return pressureLoad * max(0, used-amplyFree)
+}
+
+// WithRoom returns how many upstreams have room for the request, as far as is
+// known.
+func WithRoom(views []directory.View, r Request) int {
+	n := 0
+	for i := range views {
+		if HasRoom(&views[i], r) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/process/selection/selection_test.go
+++ b/internal/process/selection/selection_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// Guards against routers that all send to an upstream that has just been listed,
+// because what has not reported looked empty: an engine got 7 prompts in 0.13 s
+// while 40 others were at hand.
+func TestUnreportedUpstreamIsNotTakenForEmpty(t *testing.T) {
+	busy := view("busy", "dc-1")
+	busy.Running, busy.MemoryUsed = 6, 12_000
+	crowded := view("crowded", "dc-1")
+	crowded.Running, crowded.Waiting = 6, 3
+	listed := directory.View{ID: "listed", DataCentre: "dc-1", Slots: 24}
+	r := Request{DataCentre: "dc-1", MemoryTokens: 30_000}
+	require.Equal(t, "busy", chosen(t, []directory.View{listed, busy}, r))
+	tried := Request{DataCentre: "dc-1", MemoryTokens: 30_000, Exclude: map[string]bool{"busy": true}}
+	require.Equal(t, "listed", chosen(t, []directory.View{busy, listed, crowded}, tried))
+	require.Equal(t, "listed", chosen(t, []directory.View{listed}, r), "without any report, the calls of the router decide")
+}
+
 func TestChooseFindsNothing(t *testing.T) {
 	leaving := view("a", "dc-1")
 	leaving.Leaving = true
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -81,16 +81,17 @@
 		}
 		c.tried[v.ID] = true
 		if c.Directory.Begin(v.ID, tokens, now) {
-			c.logChoice(v, len(views))
+			c.logChoice(v, views, request)
 			return v, func() { c.Directory.End(v.ID, tokens) }, true
 		}
 	}
 	return directory.View{}, nil, false
 }
 
-func (c *call) logChoice(v directory.View, usable int) {
+func (c *call) logChoice(v directory.View, views []directory.View, r selection.Request) {
 	c.Log.Emit(eventlog.UpstreamChosen).Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
-		Int64("table_version", c.table.Version()).Int("usable", usable).Bool("reported", v.Reported).
+		Int64("table_version", c.table.Version()).Int("usable", len(views)).
+		Int("with_room", selection.WithRoom(views, r)).Bool("reported", v.Reported).
 		Dur("report_age", v.ReportAge).Int("waiting", v.Waiting).Int("running", v.Running).Int("memory_used", v.MemoryUsed).
 		Int("calls", v.Calls).Float64("failure_rate", v.FailureRate).Bool("cold", v.Cold).
 		Dur("time_left", c.deadline.Sub(c.Clock())).Send()
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -115,7 +115,7 @@
 		Budget:    repeatbudget.New(repeatbudget.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
 		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
 		Metrics: NewMetrics(tally.NoopScope), Process: t.Context(),
-		Return:   func(time.Time) time.Duration { return 0 },
+		Return: func(time.Time) time.Duration { return 0 },
 		Stopping: func() (time.Time, bool) {
 			if end := h.end.Load(); end != nil {
 				return *end, true
