Let copies wait for a target whose link is free

All sources copied to the same one at once: five copies over one link, mostly between data centres, took longer than the notice of 1.5 s, while new engines with all their memory free were listed 0.3 s later and reported 0.2 s after that.

Ruled out: the turn of the source (granted at once), the size of the runs.

Change: a run that finds no free target looks again every 20 ms for up to 0.5 s, by new views; routers look for new upstreams to follow every 50 ms instead of 250.

--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -24,6 +24,8 @@
 	maxTargets = 4
 	// maxAsked bounds the upstreams that are asked whether their link is free.
 	maxAsked = 5
+	// targetWait bounds the wait for an upstream whose link is free.
+	targetWait = 500 * time.Millisecond
 	// retryPause is the time before a step that may soon succeed is tried again.
 	retryPause = 20 * time.Millisecond
 	// moveTimeout bounds a whole move.
@@ -181,30 +183,46 @@
 	}
 }
 
-// target chooses an upstream whose link is free. If none is, it draws one of
-// those that were asked, so that the routers do not all take the same one.
+// target waits for an upstream whose link is free. If none is for long, it draws
+// one of those that were asked, so that the routers do not all take the same one.
 func (m *Relocator) target(ctx context.Context, r *Run, engine *routetable.Engine, source directory.View, tried map[string]bool) (directory.View, func(), bool) {
+	last := m.clock().Add(targetWait)
+	for {
+		asked, release := m.ask(ctx, r, engine, source, tried)
+		switch {
+		case len(asked) == 0:
+			return directory.View{}, nil, false
+		case release != nil:
+			return asked[len(asked)-1], release, true
+		case !m.clock().Before(last):
+			return asked[int(m.draw()*float64(len(asked)))], func() {}, true
+		}
+		if m.pause(ctx, r) != nil {
+			return directory.View{}, nil, false
+		}
+	}
+}
+
+// ask asks the best upstreams in turn whether their link is free. The last one
+// that was asked has given its turn unless release is nil.
+func (m *Relocator) ask(ctx context.Context, r *Run, engine *routetable.Engine, source directory.View, tried map[string]bool) (asked []directory.View, release func()) {
 	request := selection.Request{
 		DataCentre: source.DataCentre, Tokens: r.tokens(engine.EventTokens), MemoryTokens: engine.MemoryTokens,
 		Exclude: maps.Clone(tried), StayPenalty: moveStayPenalty,
 	}
 	views := withRoom(m.directory.Service(r.service, m.clock()), request)
-	var asked []directory.View
 	for range maxAsked {
 		v, ok := selection.Choose(views, request, m.draw)
 		if !ok {
-			break
+			return asked, nil
 		}
 		asked = append(asked, v)
 		if release, free := m.turns.TryAcquire(ctx, v, r.requestID); free {
-			return v, release, true
+			return asked, release
 		}
 		request.Exclude[v.ID] = true
 	}
-	if len(asked) == 0 {
-		return directory.View{}, nil, false
-	}
-	return asked[int(m.draw()*float64(len(asked)))], func() {}, true
+	return asked, nil
 }
 
 // withRoom returns the upstreams that report room, else those that may have it,
--- a/internal/process/reportfeed/reportfeed.go
+++ b/internal/process/reportfeed/reportfeed.go
@@ -21,7 +21,7 @@
 
 const (
 	// scanInterval is the time between two looks at the list of upstreams.
-	scanInterval = 250 * time.Millisecond
+	scanInterval = 50 * time.Millisecond
 	// silence is how long a reporter may be silent before its connection is
 	// given up.
 	silence = 3 * reporter.HeartbeatInterval
