Doubt upstreams that do not work on what they have, and share the doubt

Cause: an engine that hangs (it takes requests and does not begin them) or resets them (flapping) reports nothing to do, so it looks the emptiest of all.

Ruled out: health checks (those that hang answer them); the failure rate alone (each of 28 routers has to find out by itself, twice).

Change: an upstream whose report counts fewer requests than this router alone sent it over 0.3 s ago, or that ends a request's connection without an answer, is avoided for 1.5 s and a random time up to 3 s more; the reporter beside it tells all routers.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -67,6 +67,8 @@
 	suspectUntil time.Time
 	// leaving is true if the upstream itself said so.
 	leaving bool
+	// begun is when the newest calls began, from the oldest on.
+	begun []time.Time
 	// calls and tokens are the work that this process has there.
 	calls  int
 	tokens int
@@ -90,8 +92,9 @@
 	// coldRate returns the rate of requests for a cold upstream of the service
 	// that this process may send, 0 for no bound.
 	coldRate func(service string) float64
-	// departures is told of upstreams that leave, with the lock not held.
-	departures func(id string)
+	// departures is told of upstreams that leave, and doubts of those that this
+	// process begins to doubt, with the lock not held.
+	departures, doubts func(id string)
 }
 
 // New returns an empty directory. The function coldRate returns the requests a
@@ -104,6 +107,7 @@
 		evacuated:  make(map[string]bool),
 		coldRate:   coldRate,
 		departures: func(string) {},
+		doubts:     func(string) {},
 	}
 }
 
@@ -238,6 +242,7 @@
 		return false
 	}
 	u.calls++
+	u.begun = append(u.unsettled(now), now)
 	u.tokens += tokens
 	u.sinceCalls++
 	u.sinceTokens += tokens
@@ -294,19 +299,31 @@
 // Service returns the views of all upstreams of the service that may get new
 // work.
 func (d *Directory) Service(service string, now time.Time) []View {
+	views, doubted := d.service(service, now)
+	for _, id := range doubted {
+		d.tellDoubt(id, "unaccounted")
+	}
+	return views
+}
+
+// service also returns the upstreams that this process begins to doubt.
+func (d *Directory) service(service string, now time.Time) (views []View, doubted []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var views []View
 	for id, u := range d.upstreams {
 		if u.expired(now) {
 			delete(d.upstreams, id)
 			continue
 		}
-		if u.entry.Service == service && d.usable(u, now) {
-			views = append(views, u.view(now, d.coldRate(service)))
+		if u.entry.Service != service || !d.usable(u, now) {
+			continue
+		}
+		if u.unaccounted(now) > 0 && u.doubt(now) {
+			doubted = append(doubted, id)
 		}
+		views = append(views, u.view(now, d.coldRate(service)))
 	}
-	return views
+	return views, doubted
 }
 
 // Known reports whether the list names any upstream.
--- /dev/null
+++ b/internal/process/directory/doubt.go
@@ -0,0 +1,82 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+)
+
+const (
+	// settleTime is how long after its send a request must be part of the
+	// upstream's report.
+	settleTime = 300 * time.Millisecond
+	// doubtFor is how long an upstream that did not answer a request is avoided,
+	// and doubtSpread the longest random time beyond it, so that the routers do
+	// not all try it again at once.
+	doubtFor    = 1500 * time.Millisecond
+	doubtSpread = 3 * time.Second
+)
+
+// OnDoubt sets the function that is told of upstreams that this process begins
+// to doubt. It must be called before the directory is in use.
+func (d *Directory) OnDoubt(f func(id string)) { d.doubts = f }
+
+// Doubt records that the upstream took a request and ended its connection
+// without an answer.
+func (d *Directory) Doubt(id string, now time.Time) {
+	d.mu.Lock()
+	u := d.upstreams[id]
+	began := u != nil && u.doubt(now)
+	d.mu.Unlock()
+	if began {
+		d.tellDoubt(id, "unanswered")
+	}
+}
+
+// SharedDoubt records that another router doubts the upstream.
+func (d *Directory) SharedDoubt(id string, now time.Time) {
+	d.mu.Lock()
+	u := d.upstreams[id]
+	began := u != nil && u.doubt(now)
+	d.mu.Unlock()
+	if began {
+		d.log.Emit(eventlog.UpstreamDoubted).Str("upstream", id).Str("source", "shared").Send()
+	}
+}
+
+// tellDoubt tells others of a doubt of this process.
+func (d *Directory) tellDoubt(id, source string) {
+	d.log.Emit(eventlog.UpstreamDoubted).Str("upstream", id).Str("source", source).Send()
+	d.doubts(id)
+}
+
+// doubt returns false if the upstream is avoided already.
+func (u *upstream) doubt(now time.Time) bool {
+	if now.Before(u.suspectUntil) {
+		return false
+	}
+	u.suspectUntil = now.Add(doubtFor + rand.N(doubtSpread))
+	return true
+}
+
+// unaccounted returns how many requests of this process the upstream has had for
+// some time without counting them in its report: it takes them and does not work
+// on them.
+func (u *upstream) unaccounted(now time.Time) int {
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) >= reportLifetime {
+		return 0
+	}
+	settled := u.calls - len(u.unsettled(now))
+	return max(0, settled-u.report.Running-u.report.Waiting)
+}
+
+// unsettled returns the begins of calls that need not be part of a report yet.
+func (u *upstream) unsettled(now time.Time) []time.Time {
+	for i, at := range u.begun {
+		if now.Sub(at) < settleTime {
+			return u.begun[i:]
+		}
+	}
+	return nil
+}
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -81,7 +81,7 @@
 		Calls:       u.calls,
 		Tokens:      u.tokens,
 		FailureRate: u.failureRate(now),
-		Suspect:     now.Before(u.suspectUntil),
+		Suspect:     now.Before(u.suspectUntil) || u.unaccounted(now) > 0,
 		Cold:        u.isCold(coldRate, now),
 		Leaving:     u.isLeaving(now),
 		Gone:        u.isGone(now),
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -116,6 +116,16 @@
 		6031, "copy_not_freed", zerolog.InfoLevel,
 		"A copy of a generation that is not used could not be given up; the engine frees it after a while.", "none",
 	}
+	UpstreamDoubted = Event{
+		6032, "upstream_doubted", zerolog.InfoLevel,
+		"An upstream is avoided for a while: it did not answer a request, does not count requests that it has, or another router found so.",
+		"none",
+	}
+	DoubtNotShared = Event{
+		6033, "doubt_not_shared", zerolog.InfoLevel,
+		"The reporter beside an upstream could not be told that this router doubts the upstream; the others find out by themselves.",
+		"none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request failed; the caller got an error or a closed connection.", "Report the stack.",
@@ -134,6 +144,6 @@
 		GenerationMoved, GenerationMoveFailed, PeerFound, PeerLost, LogLinesDropped,
 		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, TurnDecided,
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
-		UpstreamSuperseded, UpstreamChosen, CopyNotFreed,
+		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamDoubted, DoubtNotShared,
 	}
 }
--- a/internal/process/reporter/message.go
+++ b/internal/process/reporter/message.go
@@ -15,6 +15,8 @@
 	TryPath = "/v1/turns/try"
 	// ReleasePath gives a turn back.
 	ReleasePath = "/v1/turns/release"
+	// DoubtPath tells that a router doubts the upstream.
+	DoubtPath = "/v1/doubts"
 	// HeartbeatInterval is the longest time between two lines of the stream.
 	HeartbeatInterval = 500 * time.Millisecond
 )
@@ -28,6 +30,8 @@
 	Running        int   `json:"running"`
 	MemoryUsed     int   `json:"memory_used"`
 	MemoryTotal    int   `json:"memory_total"`
+	// Doubts counts how often a router has begun to doubt the upstream.
+	Doubts int `json:"doubts,omitempty"`
 	// Gone is true if the upstream does not answer its own machine.
 	Gone bool `json:"gone,omitempty"`
 }
@@ -54,7 +58,7 @@
 }
 
 // urgent reports whether routers must know of the change at once. Prompts that
-// wait are part of it, as all routers place by them.
+// wait are part of it, as all routers place by them, and so are doubts.
 func (l Line) urgent(before Line) bool {
-	return l.changesState(before) || l.Waiting != before.Waiting
+	return l.changesState(before) || l.Waiting != before.Waiting || l.Doubts != before.Doubts
 }
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -55,6 +55,8 @@
 	line    Line
 	known   bool
 	changed chan struct{}
+	// doubts counts the doubts of routers.
+	doubts int
 }
 
 // New returns a reporter that is not serving yet. The function upstream returns
@@ -81,6 +83,7 @@
 	mux.HandleFunc(AcquirePath, r.serveAcquire)
 	mux.HandleFunc(TryPath, r.serveTry)
 	mux.HandleFunc(ReleasePath, r.serveRelease)
+	mux.HandleFunc(DoubtPath, r.serveDoubt)
 	feed, err := listener.New(listener.Options{Address: r.settings.ReporterAddress}, mux)
 	if err != nil {
 		return err
@@ -148,6 +151,7 @@
 	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	line.Doubts = r.doubts
 	urgent := !r.known || line.urgent(r.line)
 	stateChanged := !r.known || line.changesState(r.line)
 	changed := line != r.line
@@ -200,6 +204,14 @@
 	}
 }
 
+// serveDoubt counts a doubt; all routers get it with the next line.
+func (r *Reporter) serveDoubt(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doubts++
+	w.WriteHeader(http.StatusOK)
+}
+
 // decodeTurn reads a request about a turn; it answers one that cannot be read.
 func decodeTurn(w http.ResponseWriter, request *http.Request) (turnqueue.Request, bool) {
 	var turn turnqueue.Request
--- /dev/null
+++ b/internal/process/reporter/reporter_test.go
@@ -0,0 +1,122 @@
+package reporter
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/machine"
+	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/process/telemetry"
+)
+
+// scriptedUpstream reports what the test says.
+type scriptedUpstream struct {
+	mu     sync.Mutex
+	report directory.Report
+	err    error
+}
+
+func (s *scriptedUpstream) Report(context.Context, string) (directory.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report, s.err
+}
+
+func (s *scriptedUpstream) set(r directory.Report, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report, s.err = r, err
+}
+
+const (
+	reporterAddress = "127.0.0.1:17231"
+	metricsAddress  = "127.0.0.1:17232"
+)
+
+// serve runs a reporter until the test ends and returns its feed.
+func serve(t *testing.T, upstream *scriptedUpstream) *bufio.Scanner {
+	t.Helper()
+	tel, err := telemetry.New(t.Context(), &settings.Settings{Name: "reporter"})
+	require.NoError(t, err)
+	s := machine.Settings{UpstreamAddress: "127.0.0.1:1", ReporterAddress: reporterAddress, MetricsAddress: metricsAddress}
+	r, err := New(s, func(*exchange.Pool) Upstream { return upstream }, eventlog.Discard(), tel)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	var response *http.Response
+	require.Eventually(t, func() bool {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reporterAddress+FeedPath, nil)
+		require.NoError(t, err)
+		response, err = http.DefaultClient.Do(request)
+		return err == nil
+	}, 2*time.Second, 5*time.Millisecond)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return bufio.NewScanner(response.Body)
+}
+
+// await reads the feed until a line fits.
+func await(t *testing.T, feed *bufio.Scanner, fits func(Line) bool) Line {
+	t.Helper()
+	for feed.Scan() {
+		var line Line
+		require.NoError(t, json.Unmarshal(feed.Bytes(), &line))
+		if fits(line) {
+			return line
+		}
+	}
+	require.Fail(t, "the feed ended", "%v", feed.Err())
+	return Line{}
+}
+
+func post(t *testing.T, path, body string) int {
+	t.Helper()
+	response, err := http.Post("http://"+reporterAddress+path, "application/json", strings.NewReader(body)) //nolint:noctx // a test
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+// Guards against routers that do not learn at once that the upstream beside the
+// reporter has work, leaves, is gone, or is doubted by one of them.
+func TestFeedTellsWhatChanges(t *testing.T) {
+	upstream := &scriptedUpstream{report: directory.Report{Born: 7}}
+	feed := serve(t, upstream)
+	await(t, feed, func(l Line) bool { return l.Born == 7 && l.Doubts == 0 })
+	upstream.set(directory.Report{Born: 7, Waiting: 2}, nil)
+	await(t, feed, func(l Line) bool { return l.Waiting == 2 })
+	require.Equal(t, http.StatusOK, post(t, DoubtPath, ""))
+	await(t, feed, func(l Line) bool { return l.Doubts == 1 && l.Waiting == 2 })
+	upstream.set(directory.Report{Born: 7, Leaving: true, LeavesIn: 1500 * time.Millisecond}, nil)
+	line := await(t, feed, func(l Line) bool { return l.Leaving })
+	require.Equal(t, 1500*time.Millisecond, line.Report().LeavesIn)
+	require.Equal(t, 1, line.Doubts)
+	upstream.set(directory.Report{}, http.ErrServerClosed)
+	await(t, feed, func(l Line) bool { return l.Gone })
+}
+
+// Guards against two copies at once over the upstream's link, and against a turn
+// that is not given on.
+func TestTurnsAreGivenOneAfterAnother(t *testing.T) {
+	serve(t, &scriptedUpstream{report: directory.Report{Born: 7}})
+	require.Equal(t, http.StatusOK, post(t, AcquirePath, `{"id":"r1","worth":2}`))
+	require.Equal(t, http.StatusServiceUnavailable, post(t, TryPath, `{"id":"r2"}`))
+	require.Equal(t, http.StatusOK, post(t, ReleasePath, `{"id":"r1"}`))
+	require.Equal(t, http.StatusOK, post(t, TryPath, `{"id":"r2"}`))
+	require.Equal(t, http.StatusBadRequest, post(t, TryPath, `{`))
+}
--- a/internal/process/reportfeed/reportfeed.go
+++ b/internal/process/reportfeed/reportfeed.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	followed map[string]context.CancelFunc
 	// heard holds the upstreams whose reporter answers.
 	heard map[string]bool
+	// doubts holds the number of doubts that each reporter counted last.
+	doubts map[string]int
 }
 
 // New returns a feed that follows nobody yet. The port is that of the reporters
@@ -61,7 +64,7 @@
 func New(pool *exchange.Pool, d *directory.Directory, reported func(service string) bool, port int, log *eventlog.Log, clock func() time.Time) *Feed {
 	return &Feed{
 		pool: pool, directory: d, reported: reported, port: port, log: log, clock: clock,
-		followed: make(map[string]context.CancelFunc), heard: make(map[string]bool),
+		followed: make(map[string]context.CancelFunc), heard: make(map[string]bool), doubts: make(map[string]int),
 	}
 }
 
@@ -87,7 +90,7 @@
 		if v.Gone || !f.reported(v.Service) {
 			continue
 		}
-		key := v.ID + "@" + v.Address
+		key := keyOf(v)
 		present[key] = true
 		f.mu.Lock()
 		if f.followed[key] == nil {
@@ -103,10 +106,19 @@
 		if !present[key] {
 			cancel()
 			delete(f.followed, key)
+			delete(f.doubts, upstreamOf(key))
 		}
 	}
 }
 
+// keyOf names the upstream at its address.
+func keyOf(v directory.View) string { return v.ID + "@" + v.Address }
+
+func upstreamOf(key string) string {
+	id, _, _ := strings.Cut(key, "@")
+	return id
+}
+
 // address returns that of the reporter beside the upstream, empty for none.
 func (f *Feed) address(upstream string) string {
 	host, _, err := net.SplitHostPort(upstream)
@@ -176,9 +188,40 @@
 		return
 	}
 	f.directory.Report(v.ID, line.Report(), f.clock())
+	if f.newDoubt(v, line.Doubts) {
+		f.directory.SharedDoubt(v.ID, f.clock())
+	}
 	f.setHeard(v, true)
 }
 
+// newDoubt reports whether a router has begun to doubt the upstream since the
+// last line. The first line of a reporter tells of doubts of unknown age.
+func (f *Feed) newDoubt(v directory.View, doubts int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.doubts[v.ID]
+	f.doubts[v.ID] = doubts
+	return f.heard[v.ID] && doubts > before
+}
+
+// Doubt tells the reporter beside the upstream, and so all routers, that this
+// process doubts it.
+func (f *Feed) Doubt(id string) {
+	v, known := f.directory.Upstream(id, f.clock())
+	if !known || !f.isHeard(v) {
+		return
+	}
+	go f.sendDoubt(v)
+}
+
+func (f *Feed) sendDoubt(v directory.View) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := f.post(ctx, f.address(v.Address), reporter.DoubtPath, turnqueue.Request{}); err != nil {
+		f.log.Emit(eventlog.DoubtNotShared).Str("upstream", v.ID).Err(err).Send()
+	}
+}
+
 func (f *Feed) setHeard(v directory.View, heard bool) {
 	f.mu.Lock()
 	before := f.heard[v.ID]
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -157,6 +157,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	r.directory.OnDeparture(func(id string) { r.relocator.Departed(life, id) })
+	r.directory.OnDoubt(r.feed.Doubt)
 	servers, callers, err := r.listen(life)
 	if err != nil {
 		return err
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -115,6 +115,9 @@
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errTimeout) {
 			c.Directory.Outcome(v.ID, true, now)
 		}
+		if ctx.Err() == nil && c.service.Engine != nil {
+			c.Directory.Doubt(v.ID, now)
+		}
 	case answered:
 	}
 	if result != answered {
