--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -67,8 +67,8 @@
 	suspectUntil time.Time
 	// leaving is true if the upstream itself said so.
 	leaving bool
-	// begun is when the newest calls began, from the oldest on.
-	begun []time.Time
+	// awaited is when the requests were sent that have brought no event yet.
+	awaited []time.Time
 	// calls and tokens are the work that this process has there.
 	calls  int
 	tokens int
@@ -242,7 +242,6 @@
 		return false
 	}
 	u.calls++
-	u.begun = append(u.unsettled(now), now)
 	u.tokens += tokens
 	u.sinceCalls++
 	u.sinceTokens += tokens
--- a/internal/process/directory/doubt.go
+++ b/internal/process/directory/doubt.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
@@ -60,23 +62,38 @@
 	return true
 }
 
+// Await records that a generation was sent to the upstream and has brought no
+// event yet. The function that it returns must be called at the first event or
+// at the end of the request; further calls do nothing.
+func (d *Directory) Await(id string, now time.Time) (heard func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.upstreams[id]
+	if u == nil {
+		return func() {}
+	}
+	u.awaited = append(u.awaited, now)
+	return sync.OnceFunc(func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if i := slices.Index(u.awaited, now); i >= 0 {
+			u.awaited = slices.Delete(u.awaited, i, i+1)
+		}
+	})
+}
+
 // unaccounted returns how many requests of this process the upstream has had for
-// some time without counting them in its report: it takes them and does not work
-// on them.
+// some time without counting them among its prompts: it takes them and does not
+// work on them.
 func (u *upstream) unaccounted(now time.Time) int {
 	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) >= reportLifetime {
 		return 0
 	}
-	settled := u.calls - len(u.unsettled(now))
-	return max(0, settled-u.report.Running-u.report.Waiting)
-}
-
-// unsettled returns the begins of calls that need not be part of a report yet.
-func (u *upstream) unsettled(now time.Time) []time.Time {
-	for i, at := range u.begun {
-		if now.Sub(at) < settleTime {
-			return u.begun[i:]
+	settled := 0
+	for _, at := range u.awaited {
+		if now.Sub(at) >= settleTime {
+			settled++
 		}
 	}
-	return nil
+	return max(0, settled-u.report.Waiting)
 }
--- a/internal/process/directory/doubt_test.go
+++ b/internal/process/directory/doubt_test.go
@@ -22,9 +22,8 @@
 	d := newDirectory()
 	d.OnDoubt(func(id string) { doubted = append(doubted, id) })
 	d.List(entry("a", "10.0.0.1:1", 1), start)
-	d.Report("a", Report{Born: 1, Running: 1}, start)
-	d.Begin("a", 100, start)
-	d.Begin("a", 100, start)
+	d.Report("a", Report{Born: 1, Running: 3}, start)
+	d.Await("a", start)
 	require.False(t, suspect(t, d, "a", start.Add(settleTime-time.Millisecond)), "its report may be on its way")
 	require.Empty(t, doubted)
 	late := start.Add(settleTime)
@@ -32,8 +31,11 @@
 	d.Service("lm", late)
 	require.Equal(t, []string{"a"}, doubted, "others are told once")
 	require.True(t, suspect(t, d, "a", late))
-	d.Report("a", Report{Born: 1, Running: 1, Waiting: 1}, late)
-	require.False(t, suspect(t, d, "a", late.Add(2*doubtSpread)), "it accounts for both")
+	after := late.Add(doubtFor + doubtSpread)
+	d.Report("a", Report{Born: 1, Running: 3}, after)
+	require.True(t, suspect(t, d, "a", after), "it still does not")
+	d.Report("a", Report{Born: 1, Running: 3, Waiting: 1}, after)
+	require.False(t, suspect(t, d, "a", after), "it does")
 }
 
 // Guards against a doubt about an upstream that is idle, or whose report is too
@@ -42,10 +44,11 @@
 	d := newDirectory()
 	d.List(entry("a", "10.0.0.1:1", 1), start)
 	d.Report("a", Report{Born: 1}, start)
-	d.Begin("a", 100, start)
-	d.End("a", 100)
+	heard := d.Await("a", start)
+	heard()
+	heard()
 	require.False(t, suspect(t, d, "a", start.Add(settleTime)))
-	d.Begin("a", 100, start)
+	d.Await("a", start)
 	require.False(t, suspect(t, d, "a", start.Add(reportLifetime)))
 }
 
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -28,6 +28,8 @@
 	// lastID is the last event that the caller has, empty for none.
 	lastID string
 	events int
+	// heard records the first event of the present upstream, or the end.
+	heard func()
 	// moves counts the continued legs.
 	moves int
 	// lastAt is when the last event came.
@@ -75,6 +77,8 @@
 	if s.lastID != "" {
 		request.Header.Set(s.Names.LastEventID, s.lastID)
 	}
+	s.heard = s.Directory.Await(v.ID, s.Clock())
+	defer s.heard()
 	answer, result, err := s.send(ctx, v, request)
 	if s.callerLeft() {
 		s.closeAnswer(answer)
@@ -267,6 +271,7 @@
 
 func (s *stream) noteEvent(id string) {
 	now := s.Clock()
+	s.heard()
 	if s.events == 0 {
 		s.Metrics.firstEvent(now.Sub(s.received))
 	} else if gap := now.Sub(s.lastAt); gap > s.longestGap {
