Enforce the operators' limit on the time of a request header

Cause: the limit was decoded and not applied; a header could take as long as a whole request (30 s).

Change: the listener bounds the header by the limit in force, and the whole request from its first byte as before.

Ruled out: a bound on the whole request, which would cut slow bodies.

--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -53,6 +53,8 @@
 	cancel   context.CancelFunc
 	// deadline is when the socket is closed, zero for never.
 	deadline time.Time
+	// receiveBy is when the request that arrives must be there whole.
+	receiveBy time.Time
 	// seenSent and seenAt are the last change of sent that inspect found.
 	seenSent int64
 	seenAt   time.Time
@@ -151,12 +153,26 @@
 		return false
 	}
 	if !c.receiving && c.active == 0 {
-		c.deadline = now.Add(c.listener.options.limits().ReceiveTimeout)
+		limits := c.listener.options.limits()
+		c.receiveBy = now.Add(limits.ReceiveTimeout)
+		c.deadline = c.receiveBy
+		if limits.HeaderTimeout > 0 {
+			c.deadline = now.Add(min(limits.HeaderTimeout, limits.ReceiveTimeout))
+		}
 	}
 	c.receiving = true
 	return true
 }
 
+// endHeader is called when a whole header has arrived.
+func (c *connection) endHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active == 0 {
+		c.deadline = c.receiveBy
+	}
+}
+
 // beginRequest is called when a whole request has arrived. It returns false if
 // the request must not be served.
 func (c *connection) beginRequest() bool {
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -71,7 +71,10 @@
 type Limits struct {
 	// MaxHeaderBytes bounds the request line and the header.
 	MaxHeaderBytes int
-	IdleTimeout    time.Duration
+	// HeaderTimeout closes a connection whose request header has not arrived
+	// whole this long after its first byte; 0 leaves it to ReceiveTimeout.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 	ReceiveTimeout time.Duration
 }
 
@@ -85,6 +88,7 @@
 	if changed.MaxHeaderBytes > 0 {
 		l.MaxHeaderBytes = changed.MaxHeaderBytes
 	}
+	l.HeaderTimeout = changed.HeaderTimeout
 	if changed.IdleTimeout > 0 {
 		l.IdleTimeout = changed.IdleTimeout
 	}
--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -274,6 +274,24 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against a header that takes longer than operators allow, and against
+// that limit on a body that takes its time.
+func TestSlowHeaderIsCutOff(t *testing.T) {
+	limits := func() listener.Limits { return listener.Limits{HeaderTimeout: 150 * time.Millisecond} }
+	l := start(t, listener.Options{Limits: limits}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	began := time.Now()
+	_, slow := dial(t, l, "GET / HTTP/1.1\r\nHost:")
+	_, err := slow.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Less(t, time.Since(began), 5*time.Second)
+	c, r := dial(t, l, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+	time.Sleep(400 * time.Millisecond)
+	_, err = io.WriteString(c, "cd")
+	require.NoError(t, err)
+	_, body := read(t, r)
+	require.Equal(t, "abcd", body)
+}
+
 // Guards against more open connections than configured.
 func TestConnectionsAreBounded(t *testing.T) {
 	l := start(t, listener.Options{MaxConnections: 2}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
--- a/internal/connection/listener/processor.go
+++ b/internal/connection/listener/processor.go
@@ -67,6 +67,7 @@
 }
 
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
+	p.connection.endHeader()
 	switch {
 	case p.lengths+p.encodings > 1:
 		p.connection.refuse(malformed("the request has more than one Content-Length or Transfer-Encoding"))
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -231,7 +231,7 @@
 		return listener.Limits{}
 	}
 	l := t.Limits()
-	return listener.Limits{MaxHeaderBytes: l.MaxHeaderBytes, IdleTimeout: l.IdleTimeout}
+	return listener.Limits{MaxHeaderBytes: l.MaxHeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
 func (r *Router) panicked(value any, stack []byte) {
