Keep copies in the data centre while one with room is there

Cause: a copy between data centres takes twice as long, and a third of the moves of crowded leaving engines went to another one for a target less loaded by 0.4.

Ruled out: room (targets in the same data centre had it).

Change: the stay weighs 1.2. First tests of the report feed.

TestCopyStaysInTheDataCentre failed first.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -73,8 +73,8 @@
 	MaxHeaderBytes int
 	// HeaderTimeout closes a connection whose request header has not arrived
 	// whole this long after its first byte; 0 leaves it to ReceiveTimeout.
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 	ReceiveTimeout time.Duration
 }
 
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -250,7 +250,7 @@
 
 // moveStayPenalty is the load that is accepted at the target for a copy within
 // the data centre, which takes half the time.
-const moveStayPenalty = 0.4
+const moveStayPenalty = 1.2
 
 func (m *Relocator) moveTo(ctx context.Context, r *Run, source, target directory.View) error {
 	order := CopyOrder{RequestID: r.requestID, SourceAddress: source.Address, TargetAddress: target.Address}
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -137,6 +137,18 @@
 	require.Equal(t, map[string]bool{"near": true, "far": true}, chosen)
 }
 
+// Guards against copies to another data centre, which take twice as long of the
+// notice, while one with room is at hand in the same.
+func TestCopyStaysInTheDataCentre(t *testing.T) {
+	h := newHarness(t, freeTurns{}, quickCopies)
+	h.directory.Report("near", directory.Report{Running: 5, MemoryUsed: 700, MemoryTotal: 1000}, time.Now())
+	h.directory.Report("far", directory.Report{MemoryTotal: 1000}, time.Now())
+	r := h.run(t, "r1")
+	r.Event()
+	h.leave("source")
+	require.Equal(t, "near", handoff(t, r).Target.ID)
+}
+
 // Guards against copies of several upstreams over the link of the only target
 // with room: five of them took longer than the notice, although each source could
 // have copied to engines that were listed 0.3 s later.
--- /dev/null
+++ b/internal/process/reportfeed/reportfeed_test.go
@@ -0,0 +1,149 @@
+package reportfeed
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/exchange"
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/reporter"
+	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
+)
+
+// scriptedReporter is the reporter beside the upstream; the test sends its lines.
+type scriptedReporter struct {
+	lines chan reporter.Line
+
+	mu     sync.Mutex
+	doubts int
+	turns  *turnqueue.Queue
+}
+
+func (s *scriptedReporter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case reporter.FeedPath:
+		s.serveFeed(w, r)
+	case reporter.DoubtPath:
+		s.mu.Lock()
+		s.doubts++
+		s.mu.Unlock()
+	case reporter.TryPath:
+		var turn turnqueue.Request
+		if json.NewDecoder(r.Body).Decode(&turn) != nil || !s.turns.TryAcquire(turn) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	case reporter.ReleasePath:
+		var turn turnqueue.Request
+		if json.NewDecoder(r.Body).Decode(&turn) == nil {
+			s.turns.Release(turn.ID)
+		}
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *scriptedReporter) serveFeed(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusOK)
+	for {
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case line := <-s.lines:
+			if json.NewEncoder(w).Encode(line) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *scriptedReporter) doubtsTold() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doubts
+}
+
+// newFeed returns a feed of one upstream whose reporter the test scripts.
+func newFeed(t *testing.T) (*Feed, *directory.Directory, *scriptedReporter) {
+	t.Helper()
+	beside := &scriptedReporter{lines: make(chan reporter.Line), turns: turnqueue.New()}
+	server := httptest.NewServer(beside)
+	t.Cleanup(server.CloseClientConnections)
+	host, text, err := net.SplitHostPort(server.Listener.Addr().String())
+	require.NoError(t, err)
+	port, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	d := directory.New(eventlog.Discard(), func(string) float64 { return 0 })
+	d.List(directory.Entry{ID: "u", Service: "lm", Address: net.JoinHostPort(host, "1"), DataCentre: "dc-1", Slots: 8, Born: 7}, time.Now())
+	pool := exchange.New(exchange.Options{DialTimeout: time.Second}, time.Now)
+	feed := New(pool, d, func(string) bool { return true }, port, eventlog.Discard(), time.Now)
+	d.OnDoubt(feed.Doubt)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go feed.Run(ctx)
+	return feed, d, beside
+}
+
+func view(t *testing.T, d *directory.Directory) directory.View {
+	t.Helper()
+	v, ok := d.Upstream("u", time.Now())
+	require.True(t, ok)
+	return v
+}
+
+func await(t *testing.T, d *directory.Directory, fits func(directory.View) bool) {
+	t.Helper()
+	require.Eventually(t, func() bool { return fits(view(t, d)) }, 2*time.Second, time.Millisecond)
+}
+
+// Guards against reports that do not reach the directory, and against a doubt of
+// another router that this one does not share.
+func TestReportsAndDoubtsReachTheDirectory(t *testing.T) {
+	_, d, beside := newFeed(t)
+	beside.lines <- reporter.Line{Born: 7, Waiting: 2, Running: 1, MemoryUsed: 9, MemoryTotal: 10, Doubts: 3}
+	await(t, d, func(v directory.View) bool { return v.Reported && v.Waiting == 2 && v.MemoryUsed == 9 })
+	require.False(t, view(t, d).Suspect, "the doubts of a first line may be old")
+	beside.lines <- reporter.Line{Born: 7, Doubts: 4}
+	await(t, d, func(v directory.View) bool { return v.Suspect && v.Waiting == 0 })
+	require.Zero(t, beside.doubtsTold(), "a shared doubt is not told again")
+	beside.lines <- reporter.Line{Born: 7, Doubts: 4, Leaving: true}
+	await(t, d, func(v directory.View) bool { return v.Leaving })
+}
+
+// Guards against a doubt of this router that the others do not learn of.
+func TestOwnDoubtIsTold(t *testing.T) {
+	_, d, beside := newFeed(t)
+	beside.lines <- reporter.Line{Born: 7}
+	await(t, d, func(v directory.View) bool { return v.Reported })
+	d.Doubt("u", time.Now())
+	require.Eventually(t, func() bool { return beside.doubtsTold() == 1 }, 2*time.Second, time.Millisecond)
+}
+
+// Guards against two copies at once over the link of one upstream, and against
+// copies that wait for a reporter that is not there.
+func TestTurnsOfAReporter(t *testing.T) {
+	feed, d, beside := newFeed(t)
+	v := view(t, d)
+	_, free := feed.TryAcquire(t.Context(), v, "r0")
+	require.True(t, free, "a reporter that has not been heard has no say")
+	beside.lines <- reporter.Line{Born: 7}
+	await(t, d, func(v directory.View) bool { return v.Reported })
+	require.Eventually(t, func() bool { return feed.isHeard(v) }, 2*time.Second, time.Millisecond)
+	release, free := feed.TryAcquire(t.Context(), v, "r1")
+	require.True(t, free)
+	_, free = feed.TryAcquire(t.Context(), v, "r2")
+	require.False(t, free)
+	release()
+	_, free = feed.TryAcquire(t.Context(), v, "r2")
+	require.True(t, free)
+}
