--- a/internal/process/configwatch/loops.go
+++ b/internal/process/configwatch/loops.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/version/adoption"
 	"github.com/flamingohold/flamingohold/internal/version/manifest"
 )
@@ -69,7 +70,7 @@
 // change.
 func (w *Watcher) pollPeers(ctx context.Context) {
 	answered := false
-	for sleep(ctx, jitter(w.pollInterval(answered))) == nil {
+	for pause.For(ctx, jitter(w.pollInterval(answered))) {
 		peer := w.peers.pick()
 		if peer == "" {
 			continue
@@ -127,7 +128,7 @@
 	}
 	if !w.readPeer(ctx, l.peer, "") {
 		// A peer that mentions what it cannot serve is asked at a bounded rate.
-		_ = sleep(ctx, jitter(w.timing.firstRetry/2))
+		pause.For(ctx, jitter(w.timing.firstRetry/2))
 	}
 }
 
@@ -146,7 +147,7 @@
 		}
 		reachable = w.noteReachable(reachable, answered, err)
 		if !answered {
-			_ = sleep(ctx, jitter(retry))
+			pause.For(ctx, jitter(retry))
 			retry = min(2*retry, w.timing.lastRetry)
 			continue
 		}
@@ -192,7 +193,7 @@
 		w.noteOlder(c.Version == m.Version && c.Hash == m.Hash, m)
 		return true
 	}
-	if sleep(ctx, time.Duration(rand.Int64N(int64(w.timing.spread)+1))) != nil {
+	if !pause.For(ctx, time.Duration(rand.Int64N(int64(w.timing.spread)+1))) {
 		return false
 	}
 	return settled(w.adopt(ctx, m, w.service))
--- a/internal/process/configwatch/source.go
+++ b/internal/process/configwatch/source.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/version/manifest"
 )
 
@@ -143,8 +144,8 @@
 }
 
 func (s *serviceSource) get(ctx context.Context, key string, query url.Values, timeout time.Duration) (answer, error) {
-	if err := sleep(ctx, s.rate.reserve(time.Now())); err != nil {
-		return answer{}, err
+	if !pause.For(ctx, s.rate.reserve(time.Now())) {
+		return answer{}, ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -160,18 +161,3 @@
 }
 
 func quote(hash string) string { return `"` + hash + `"` }
-
-// sleep waits for the delay and returns the context's error if that ends first.
-func sleep(ctx context.Context, delay time.Duration) error {
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/process/directory/doubt.go
+++ b/internal/process/directory/doubt.go
@@ -27,32 +27,36 @@
 // Doubt records that the upstream took a request and ended its connection
 // without an answer.
 func (d *Directory) Doubt(id string, now time.Time) {
-	d.mu.Lock()
-	u := d.upstreams[id]
-	began := u != nil && u.doubt(now)
-	d.mu.Unlock()
-	if began {
+	if d.beginDoubt(id, now) {
 		d.tellDoubt(id, "unanswered")
 	}
 }
 
 // SharedDoubt records that another router doubts the upstream.
 func (d *Directory) SharedDoubt(id string, now time.Time) {
+	if d.beginDoubt(id, now) {
+		d.logDoubt(id, "shared")
+	}
+}
+
+// beginDoubt returns false if the upstream is unknown or avoided already.
+func (d *Directory) beginDoubt(id string, now time.Time) bool {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	u := d.upstreams[id]
-	began := u != nil && u.doubt(now)
-	d.mu.Unlock()
-	if began {
-		d.log.Emit(eventlog.UpstreamDoubted).Str("upstream", id).Str("source", "shared").Send()
-	}
+	return u != nil && u.doubt(now)
 }
 
 // tellDoubt tells others of a doubt of this process.
 func (d *Directory) tellDoubt(id, source string) {
-	d.log.Emit(eventlog.UpstreamDoubted).Str("upstream", id).Str("source", source).Send()
+	d.logDoubt(id, source)
 	d.doubts(id)
 }
 
+func (d *Directory) logDoubt(id, source string) {
+	d.log.Emit(eventlog.UpstreamDoubted).Str("upstream", id).Str("source", source).Send()
+}
+
 // doubt returns false if the upstream is avoided already.
 func (u *upstream) doubt(now time.Time) bool {
 	if now.Before(u.suspectUntil) {
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/stream"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/answer"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
@@ -321,7 +322,7 @@
 		if s.gone() || s.gateway.clock().Add(delay).After(deadline) {
 			break
 		}
-		pause(ctx, delay)
+		pause.For(ctx, delay)
 	}
 	p := problem.Incomplete("generation_unreachable", cause.Error()).WithAt("resume", g.instance.Name)
 	return nil, &p
--- a/internal/process/gateway/order.go
+++ b/internal/process/gateway/order.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/link"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
 	"github.com/flamingohold/flamingohold/internal/version/service"
@@ -175,7 +176,7 @@
 		status, err := ask()
 		if err != nil {
 			silent++
-			pause(s.ctx, inquiryDelay)
+			pause.For(s.ctx, inquiryDelay)
 			continue
 		}
 		silent = 0
@@ -186,7 +187,7 @@
 			return answered
 		}
 		ask = func() (attempt.Status, error) { return s.gateway.links.Query(ctx, i.SidecarAddress, a.ID) }
-		pause(s.ctx, inquiryDelay)
+		pause.For(s.ctx, inquiryDelay)
 	}
 	s.gateway.members.ObserveFailure(i.Name, s.gateway.clock())
 	return final(problem.Unknown("link_lost", "the link was lost and the instance does not answer").WithAt("inquire", i.Name))
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/link"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
@@ -127,7 +127,7 @@
 			return instance.Instance{}, false
 		}
 		t.excluded = nil
-		pause(t.session.ctx, retryPause)
+		pause.For(t.session.ctx, retryPause)
 	}
 	return instance.Instance{}, false
 }
@@ -147,15 +147,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func kindOf(p problem.Problem) string { return p.Type[strings.LastIndex(p.Type, ":")+1:] }
 
 // overloaded reports whether waiting instances would receive still more work by
--- a/internal/process/instancelist/reader.go
+++ b/internal/process/instancelist/reader.go
@@ -14,6 +14,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 )
 
 const (
@@ -106,12 +107,12 @@
 			// After a failure the whole list is read, because a restarted service
 			// may count from the beginning.
 			index = 0
-			sleep(ctx, jitter(retry))
+			pause.For(ctx, jitter(retry))
 			retry = min(2*retry, lastRetry)
 			continue
 		}
 		index, retry = l.Index, r.retry
-		sleep(ctx, r.spacing(l.bytes))
+		pause.For(ctx, r.spacing(l.bytes))
 	}
 	return nil
 }
@@ -200,12 +201,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean*3/4 + time.Duration(rand.Int64N(int64(mean/2)+1))
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 )
 
 const (
@@ -68,7 +69,7 @@
 	retry := firstRetry
 	for ctx.Err() == nil {
 		if !f.needed() {
-			sleep(ctx, idlePause)
+			pause.For(ctx, idlePause)
 			continue
 		}
 		err := f.step(ctx)
@@ -84,7 +85,7 @@
 			continue
 		}
 		f.failed(err)
-		sleep(ctx, retry)
+		pause.For(ctx, retry)
 		retry = min(lastRetry, 2*retry)
 	}
 }
@@ -120,7 +121,7 @@
 	f.answered()
 	f.mirror.Apply(batch, f.clock())
 	if len(batch.Items) > 0 {
-		sleep(ctx, f.pace)
+		pause.For(ctx, f.pace)
 	}
 	return nil
 }
@@ -144,15 +145,3 @@
 	f.lost = true
 	f.log.Emit(eventlog.StoreUnreachable).Err(err).Send()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/mirror/follower_test.go
+++ b/internal/process/mirror/follower_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 )
 
 // scriptedStore answers with what the test put into it.
@@ -49,7 +50,7 @@
 	case revision > after:
 		return Batch{Items: items, Revision: revision}, nil
 	}
-	sleep(ctx, 2*time.Millisecond)
+	pause.For(ctx, 2*time.Millisecond)
 	return Batch{Revision: revision}, nil
 }
 
--- /dev/null
+++ b/internal/process/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that a context can cut short.
+package pause
--- /dev/null
+++ b/internal/process/pause/pause_test.go
@@ -0,0 +1,20 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFor(t *testing.T) {
+	began := time.Now()
+	require.True(t, For(t.Context(), 20*time.Millisecond))
+	require.GreaterOrEqual(t, time.Since(began), 20*time.Millisecond)
+	require.True(t, For(t.Context(), 0))
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	require.False(t, For(ctx, time.Hour))
+	require.False(t, For(ctx, -time.Second))
+}
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -13,6 +13,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/exchange"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 )
 
 const (
@@ -102,16 +103,7 @@
 			p.exchange(ctx, address, 0)
 		}
 		p.forget()
-		pause(ctx, p.interval())
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		pause.For(ctx, p.interval())
 	}
 }
 
@@ -127,11 +119,11 @@
 	for turn := 0; ctx.Err() == nil; turn++ {
 		chosen := p.readers()
 		if slices.Contains(chosen, p.self) {
-			pause(ctx, feedWait)
+			pause.For(ctx, feedWait)
 			continue
 		}
 		if !p.exchange(ctx, chosen[turn%len(chosen)], feedWait) {
-			pause(ctx, feedRetry)
+			pause.For(ctx, feedRetry)
 		}
 	}
 }
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/selection"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
@@ -309,12 +310,8 @@
 
 // pause waits before another try. It fails once the run has ended.
 func (m *Relocator) pause(ctx context.Context, r *Run) error {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, retryPause) {
 		return ctx.Err()
-	case <-timer.C:
 	}
 	if r.isOver() {
 		return ErrNoSuchRun
--- a/internal/process/reportfeed/reportfeed.go
+++ b/internal/process/reportfeed/reportfeed.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/exchange"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/reporter"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
@@ -142,12 +143,8 @@
 		if f.clock().Sub(began) > lastRetry {
 			retry = firstRetry
 		}
-		timer := time.NewTimer(retry)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, retry) {
 			return
-		case <-timer.C:
 		}
 		retry = min(lastRetry, 2*retry)
 	}
