--- a/internal/process/selection/selection.go
+++ b/internal/process/selection/selection.go
@@ -23,10 +23,10 @@
 	// waitingLoad is the load of a prompt that is still to be read: it delays both
 	// the next prompt and all generations under way.
 	waitingLoad = 0.4
-	// amplyFree is the share of the memory in use, the request's prompt included, up
-	// to which all requests find room, and pressureLoad the load for each further
+	// pressureFrom is the share of the memory, the request's prompt included, above
+	// which requests wait for room, and pressureLoad the load for each further
 	// share.
-	amplyFree    = 0.95
+	pressureFrom = 0.95
 	pressureLoad = 9.0
 	// unreportedShare is the load that one call of this process stands for, as a
 	// share of an upstream's slots, if the upstream has not reported.
@@ -53,13 +53,13 @@
 func Choose(views []directory.View, r Request, draw func() float64) (directory.View, bool) {
 	best := -1
 	bestScore := 0.0
-	known := survey(views, r)
+	service := overviewOf(views, r)
 	for i := range views {
 		v := &views[i]
 		if r.Exclude[v.ID] || v.Blocked || v.Leaving {
 			continue
 		}
-		score := score(v, r, known) + draw()*jitter
+		score := score(v, r, service) + draw()*jitter
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
@@ -74,45 +74,45 @@
 // keeps routers with equal views apart.
 const jitter = 0.08
 
-// known is what the views say of a service as a whole.
-type known struct {
+// overview is what the views say of a service as a whole.
+type overview struct {
 	// lowestFailures is the failure rate of the best upstream.
 	lowestFailures float64
-	// load is the mean load of the upstreams that have reported, 0 if none has.
-	load     float64
+	// reported counts the upstreams that have reported, and load is their mean load.
 	reported int
+	load     float64
 }
 
-func survey(views []directory.View, r Request) known {
-	k := known{lowestFailures: 1}
+func overviewOf(views []directory.View, r Request) overview {
+	o := overview{lowestFailures: 1}
 	for i := range views {
 		v := &views[i]
 		if !r.Exclude[v.ID] {
-			k.lowestFailures = min(k.lowestFailures, v.FailureRate)
+			o.lowestFailures = min(o.lowestFailures, v.FailureRate)
 		}
 		if v.Reported {
-			k.load += Load(v, r.MemoryTokens)
-			k.reported++
+			o.load += Load(v, r.MemoryTokens)
+			o.reported++
 		}
 	}
-	if k.reported > 0 {
-		k.load /= float64(k.reported)
+	if o.reported > 0 {
+		o.load /= float64(o.reported)
 	}
-	return k
+	return o
 }
 
 // loadOf returns the load of the upstream. One that has not reported while
 // others have is not empty: all routers find it at the same time.
-func (k known) loadOf(v *directory.View, r Request) float64 {
+func (o overview) loadOf(v *directory.View, r Request) float64 {
 	load := Load(v, r.MemoryTokens)
-	if v.Reported || k.reported == 0 {
+	if v.Reported || o.reported == 0 {
 		return load
 	}
-	return max(load, k.load) + unreportedPenalty
+	return max(load, o.load) + unreportedPenalty
 }
 
-func score(v *directory.View, r Request, k known) float64 {
-	s := k.loadOf(v, r)
+func score(v *directory.View, r Request, o overview) float64 {
+	s := o.loadOf(v, r)
 	s += memoryPressure(v, r)
 	if v.DataCentre != r.DataCentre {
 		penalty := remotePenalty
@@ -124,7 +124,7 @@
 	if v.Suspect {
 		s += suspectPenalty
 	}
-	if excess := v.FailureRate - k.lowestFailures; excess > tolerableFailures {
+	if excess := v.FailureRate - o.lowestFailures; excess > tolerableFailures {
 		s += failurePenalty * excess
 	}
 	if v.Cold {
@@ -170,7 +170,7 @@
 		return 0
 	}
 	used := float64(v.MemoryUsed+r.Tokens) / float64(total)
-	return pressureLoad * max(0, used-amplyFree)
+	return pressureLoad * max(0, used-pressureFrom)
 }
 
 // WithRoom returns how many upstreams have room for the request, as far as is
