Let the sidecar wait with package pause too

The sidecar had a copy of the wait that a context cuts short under another name; its callers use the shared function now. Behaviour is unchanged: both report whether the time passed.

--- a/internal/process/sidecar/dispatch.go
+++ b/internal/process/sidecar/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/work"
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -27,7 +28,7 @@
 		now := s.clock()
 		if now.Sub(last) > pauseThreshold {
 			s.log.Emit(eventlog.SidecarResumed).Dur("pause", now.Sub(last)).Send()
-			if !every(ctx, settleTime) {
+			if !pause.For(ctx, settleTime) {
 				return
 			}
 		}
--- a/internal/process/sidecar/generations.go
+++ b/internal/process/sidecar/generations.go
@@ -17,6 +17,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/engine"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/generation"
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -170,7 +171,7 @@
 		case barren >= maxBarrenResumes, s.clock().Sub(reached) >= patience(err):
 			return err
 		}
-		if !every(ctx, resumeDelay) {
+		if !pause.For(ctx, resumeDelay) {
 			continue
 		}
 		stream, err = s.engine.Resume(ctx, g.log.ID(), g.log.Last())
--- a/internal/process/sidecar/handover.go
+++ b/internal/process/sidecar/handover.go
@@ -18,6 +18,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
@@ -167,7 +168,7 @@
 // takeLoop asks the peers for the predecessor's ledger until it has it or the
 // quarantine ends.
 func (s *Sidecar) takeLoop(ctx context.Context) {
-	for n := 0; every(ctx, takePause(n)); n++ {
+	for n := 0; pause.For(ctx, takePause(n)); n++ {
 		svc := s.service()
 		if svc == nil {
 			continue
--- a/internal/process/sidecar/health.go
+++ b/internal/process/sidecar/health.go
@@ -10,6 +10,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 )
@@ -143,23 +144,11 @@
 // watchUpstream probes the upstream until the context ends.
 func (s *Sidecar) watchUpstream(ctx context.Context) {
 	s.probe(ctx)
-	for every(ctx, probeInterval) {
+	for pause.For(ctx, probeInterval) {
 		s.probe(ctx)
 	}
 }
 
-// every waits for the interval and reports whether the context still runs.
-func every(ctx context.Context, interval time.Duration) bool {
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Sidecar) probe(ctx context.Context) {
 	svc := s.service()
 	if svc == nil {
@@ -222,7 +211,7 @@
 // watchInstances looks at the instance list until the context ends, because an
 // older holder of the slot extends the quarantine as long as it is listed.
 func (s *Sidecar) watchInstances(ctx context.Context) {
-	for every(ctx, probeInterval) {
+	for pause.For(ctx, probeInterval) {
 		s.considerInstances(s.clock())
 	}
 }
--- a/internal/process/sidecar/models.go
+++ b/internal/process/sidecar/models.go
@@ -9,6 +9,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/engineorder"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/placement"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 )
@@ -26,7 +27,7 @@
 // to the slot, until the context ends. Models that the engine offers beyond that
 // are left alone.
 func (s *Sidecar) placeLoop(ctx context.Context) {
-	for every(ctx, placeInterval) {
+	for pause.For(ctx, placeInterval) {
 		svc := s.service()
 		if svc == nil || svc.Kind != service.KindEngine || s.health.leaving() {
 			continue
@@ -43,7 +44,7 @@
 	if err != nil || wanted == "" || slices.Contains(offered, wanted) {
 		return
 	}
-	if every(ctx, plan.Delay(s.settings.Slot, s.configurations.Current().Version, placeSpread)) {
+	if pause.For(ctx, plan.Delay(s.settings.Slot, s.configurations.Current().Version, placeSpread)) {
 		s.loadModel(ctx, svc, wanted)
 	}
 }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instancelist"
 	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/request/generation"
@@ -134,7 +135,7 @@
 // awaitIdle waits until no attempt is queued or running and every generation was
 // read to its end, or has had no reader for the grace.
 func (s *Sidecar) awaitIdle(ctx context.Context) {
-	for !s.idle() && every(ctx, idleInterval) {
+	for !s.idle() && pause.For(ctx, idleInterval) {
 	}
 }
 
@@ -171,7 +172,7 @@
 }
 
 func (s *Sidecar) keepLoop(ctx context.Context) {
-	for every(ctx, keepInterval) {
+	for pause.For(ctx, keepInterval) {
 		now := s.clock()
 		s.reap(now)
 		s.noteResets()
--- a/internal/process/sidecar/streams.go
+++ b/internal/process/sidecar/streams.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/generation"
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -43,7 +44,7 @@
 		if ok || (state != attempt.StateQueued && state != attempt.StateRunning) {
 			return j, ok
 		}
-		if !every(r.Context(), joinInterval) {
+		if !pause.For(r.Context(), joinInterval) {
 			return nil, false
 		}
 	}
