Log where a route table came from and which exchanges between routers fail

Cause: the hypotheses on the configuration that stays behind cannot be told apart. A failed exchange left no line, and route_table_adopted named neither the source nor the size.

Change: route_table_adopted has source and bytes; items_not_received and items_received_again mark the begin and the end of a series of failed exchanges with one router; store_unreachable has the revision held and the elapsed time. Metrics: exchanges that succeeded and failed, bytes received, histogram of exchanges. No logic changes.

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -126,6 +126,14 @@
 		"The router could not notify the reporter of an upstream that it avoids the upstream; other routers must detect the failure themselves.",
 		"none",
 	}
+	ItemsNotReceived = Event{
+		6034, "items_not_received", zerolog.WarnLevel,
+		"An exchange with another router ended before its items arrived; further failures with the same router are counted, not logged.",
+		"If the instance stays behind in `route_table_adopted`, compare its `bytes` with the instance's link.",
+	}
+	ItemsReceivedAgain = Event{
+		6035, "items_received_again", zerolog.InfoLevel, "A source of items answers again after failures.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -145,5 +153,6 @@
 		SettingsReloaded, SettingsRefused, ReportsLost, ReportsRegained, TurnDecided,
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
+		ItemsNotReceived, ItemsReceivedAgain,
 	}
 }
--- a/internal/process/fleetview/fleetview.go
+++ b/internal/process/fleetview/fleetview.go
@@ -49,17 +49,18 @@
 	case Evacuation:
 		v.directory.SetEvacuated(u.DataCentre, u.OutOfService)
 	case RouteTable:
-		v.replaceTable(u.Table, c.Item.Revision)
+		v.replaceTable(u.Table, c)
 	}
 }
 
 // replaceTable replaces the current table, unless that has the same or a later
 // version.
-func (v *View) replaceTable(t *routetable.Table, revision int64) {
+func (v *View) replaceTable(t *routetable.Table, c mirror.Change) {
 	if current := v.table.Load(); current != nil && current.Version() >= t.Version() {
 		return
 	}
 	v.table.Store(t)
-	v.log.Emit(eventlog.TableAdopted).Int64("version", t.Version()).Int64("revision", revision).Send()
+	v.log.Emit(eventlog.TableAdopted).Int64("version", t.Version()).Int64("revision", c.Item.Revision).
+		Str("source", c.Source).Int("bytes", len(c.Item.Value)).Send()
 	v.onTable(t)
 }
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -76,6 +76,7 @@
 			pause.For(ctx, idlePollInterval)
 			continue
 		}
+		start := f.clock()
 		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -88,7 +89,7 @@
 			f.log.Emit(eventlog.StoreHistoryGone).Send()
 			continue
 		}
-		f.noteFailure(err)
+		f.noteFailure(err, f.clock().Sub(start))
 		pause.For(ctx, retry)
 		retry = min(maxRetryDelay, 2*retry)
 	}
@@ -110,6 +111,7 @@
 		return err
 	}
 	f.noteSuccess()
+	batch.Source = StoreSource
 	f.mirror.Apply(batch, f.clock())
 	f.snapshotDue = false
 	return nil
@@ -123,6 +125,7 @@
 		return err
 	}
 	f.noteSuccess()
+	batch.Source = StoreSource
 	f.mirror.Apply(batch, f.clock())
 	if len(batch.Items) > 0 {
 		pause.For(ctx, f.changeDelay)
@@ -141,11 +144,12 @@
 	f.log.Emit(eventlog.StoreReachable).Send()
 }
 
-func (f *Follower) noteFailure(err error) {
+func (f *Follower) noteFailure(err error, elapsed time.Duration) {
 	f.mirror.MarkUnstable(f.clock().Add(unconfirmedPeriod))
 	if f.storeLost {
 		return
 	}
 	f.storeLost = true
-	f.log.Emit(eventlog.StoreUnreachable).Err(err).Send()
+	revision, _ := f.mirror.Revision()
+	f.log.Emit(eventlog.StoreUnreachable).Int64("held_revision", revision).Dur("elapsed", elapsed).Err(err).Send()
 }
--- a/internal/process/mirror/item.go
+++ b/internal/process/mirror/item.go
@@ -10,6 +10,9 @@
 	Deleted  bool  `json:"deleted,omitempty"`
 }
 
+// StoreSource is the source of the batches that the store itself sent.
+const StoreSource = "store"
+
 // Batch is a set of items and the revision up to which it is complete.
 type Batch struct {
 	Items    []Item `json:"items,omitempty"`
@@ -17,4 +20,6 @@
 	// Full is true if the batch holds every key that existed at Revision. A key
 	// that is absent from a full batch has been deleted.
 	Full bool `json:"full,omitempty"`
+	// Source is StoreSource, or the address of the router that sent the batch.
+	Source string `json:"-"`
 }
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -12,6 +12,8 @@
 // Change is the new state of a key in the mirror.
 type Change struct {
 	Item Item
+	// Source is the source of the batch that contained the item.
+	Source string
 	// Unconfirmed is true for a deletion that was received while the store was
 	// unstable. The key may soon be written again.
 	Unconfirmed bool
@@ -57,7 +59,7 @@
 		if known, ok := m.items[item.Key]; ok && known.Revision >= item.Revision {
 			continue
 		}
-		changes = append(changes, m.put(item, now))
+		changes = append(changes, m.put(item, b.Source, now))
 	}
 	if b.Full {
 		changes = append(changes, m.deleteAbsent(b, now)...)
@@ -74,7 +76,7 @@
 	}
 }
 
-func (m *Mirror) put(item Item, now time.Time) Change {
+func (m *Mirror) put(item Item, source string, now time.Time) Change {
 	if known, ok := m.items[item.Key]; ok && known.Deleted {
 		m.tombstones--
 	}
@@ -83,7 +85,7 @@
 		item.Value = nil
 	}
 	m.items[item.Key] = item
-	return Change{Item: item, Unconfirmed: item.Deleted && now.Before(m.unstableUntil)}
+	return Change{Item: item, Source: source, Unconfirmed: item.Deleted && now.Before(m.unstableUntil)}
 }
 
 func (m *Mirror) deleteAbsent(b Batch, now time.Time) []Change {
@@ -96,7 +98,7 @@
 		if present[key] || item.Deleted || item.Revision > b.Revision {
 			continue
 		}
-		changes = append(changes, m.put(Item{Key: key, Revision: b.Revision, Deleted: true}, now))
+		changes = append(changes, m.put(Item{Key: key, Revision: b.Revision, Deleted: true}, b.Source, now))
 	}
 	return changes
 }
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -44,11 +44,17 @@
 	revision, _ := p.mirror.Revision()
 	request := p.message(revision)
 	request.WaitMillis = wait.Milliseconds()
+	start := p.clock()
 	response, err := p.call(ctx, address, request)
+	elapsed := p.clock().Sub(start)
 	if err != nil {
-		// A peer that stays unreachable is removed later, and the removal is logged.
+		p.metrics.failed.Inc(1)
+		p.failures.noteFailure(address, revision, elapsed, err)
 		return false
 	}
+	p.metrics.succeeded.Inc(1)
+	p.metrics.elapsed.RecordDuration(elapsed)
+	p.failures.noteSuccess(address, response.Revision, elapsed)
 	p.recordContact(address)
 	p.addCandidates(response.Peers)
 	p.recordStop(response)
@@ -56,6 +62,7 @@
 		p.mirror.MarkUnstable(p.clock().Add(time.Duration(response.UnstableMillis) * time.Millisecond))
 	}
 	if response.Batch != nil && response.Batch.Revision > revision {
+		response.Batch.Source = address
 		p.mirror.Apply(*response.Batch, p.clock())
 	}
 	p.recordStoreContact(response)
@@ -114,6 +121,7 @@
 	if err != nil {
 		return message{}, err
 	}
+	p.metrics.bytesReceived.Inc(int64(len(content)))
 	if response.Status != http.StatusOK {
 		return message{}, errors.Newf("peer %s answered with status %d", address, response.Status)
 	}
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
@@ -53,6 +54,9 @@
 	log    *eventlog.Log
 	clock  func() time.Time
 
+	metrics  *metrics
+	failures *failures
+
 	mu    sync.Mutex
 	seeds []string
 	// lastContact holds the time of the last contact with each peer, by address.
@@ -68,8 +72,11 @@
 
 // New returns a Peers that knows only the seeds. The address self is this
 // router's peer address.
-func New(self string, seeds []string, m *mirror.Mirror, pool *upstreamclient.Pool, log *eventlog.Log, clock func() time.Time) *Peers {
-	return &Peers{self: self, seeds: seeds, mirror: m, pool: pool, log: log, clock: clock, lastContact: make(map[string]time.Time), stopTimes: make(map[string]time.Time)}
+func New(self string, seeds []string, m *mirror.Mirror, pool *upstreamclient.Pool, log *eventlog.Log, scope tally.Scope, clock func() time.Time) *Peers {
+	return &Peers{
+		self: self, seeds: seeds, mirror: m, pool: pool, log: log, clock: clock, metrics: newMetrics(scope), failures: newFailures(log),
+		lastContact: make(map[string]time.Time), stopTimes: make(map[string]time.Time),
+	}
 }
 
 // SetSeeds replaces the seeds.
@@ -201,6 +208,7 @@
 		if now.Sub(at) > peerTimeout {
 			delete(p.lastContact, address)
 			delete(p.stopTimes, address)
+			p.failures.forget(address)
 			p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(at)).Send()
 		}
 	}
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
@@ -38,7 +39,7 @@
 		m := mirror.New(func([]mirror.Change, time.Time) {})
 		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
 		seeds := []string{sockets[0].Addr().String(), "127.0.0.1:1"}
-		p := New(sockets[i].Addr().String(), seeds, m, pool, eventlog.Discard(), time.Now)
+		p := New(sockets[i].Addr().String(), seeds, m, pool, eventlog.Discard(), tally.NoopScope, time.Now)
 		server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 		nodes[i] = &node{peers: p, mirror: m, server: server}
 		running.Go(func() { _ = server.Serve(sockets[i]) })
@@ -126,7 +127,7 @@
 // Guards against a router that relies on readers which have lost contact with
 // the store.
 func TestRouterQueriesStoreOnceReadersLoseContact(t *testing.T) {
-	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), time.Now)
+	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), tally.NoopScope, time.Now)
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
 	p.recordStoreContact(message{Revision: 1, ContactAgeMillis: 0})
@@ -138,7 +139,7 @@
 // Guards against sending callers to another router which is stopping as well.
 func TestTimeUntilAvailableWithStoppingPeers(t *testing.T) {
 	now := time.Now()
-	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), func() time.Time { return now })
+	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), tally.NoopScope, func() time.Time { return now })
 	p.ownStopTime = now.Add(7 * time.Second)
 	p.recordContact("a:1")
 	p.recordContact("b:1")
@@ -154,7 +155,7 @@
 // Guards against counting the store contact of a peer whose items this router
 // lacks.
 func TestStoreContactCountsOnlyWithPeersItems(t *testing.T) {
-	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), time.Now)
+	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), tally.NoopScope, time.Now)
 	p.recordStoreContact(message{Revision: 5, ContactAgeMillis: 0})
 	require.True(t, p.storeLost())
 }
