Send large values as differences and bound transfers by progress

What callers saw: on deployments with small routers (0.144 cores, 10 Mbit/s) requests of routes added seconds ago were refused with 404, and requests ran as an older version says, while the configuration was large and changed often.

Cause: each change sent the complete configuration (390 kB) to each router, by up to three transfers at once (from a reader, a random peer, the store), and each transfer had a fixed limit (0.5, 1.0 and 1.4 s) after which it was thrown away and began again. Below a certain rate no transfer completed; watches of the store grew with each failure.

Change: a router sends a large value as the steps from the version that the receiver holds, or compressed (Zstandard, package deltacodec); receivers keep the steps and pass them on. Complete values are requested from one peer at a time. Exchanges and calls to the store are bounded by progress: time to the head, time without a byte, a generous total (upstreamclient.Fetcher). Routers of the build before get and send plain items as before.

Ruled out: a longer fixed limit (the transfers of all routers still share the readers' links); each router asking the store itself (a call per router and change, and none for routers that the store rejects).

--- a/cmd/flamingohold/hostprocess.go
+++ b/cmd/flamingohold/hostprocess.go
@@ -98,7 +98,7 @@
 		Settings:   s,
 		Headers:    platform.Headers(),
 		Decoder:    platform.ItemDecoder{},
-		Store:      func(pool *upstreamclient.Pool) mirror.Store { return platform.NewStore(s.StoreAddress, pool) },
+		Store:      func(f *upstreamclient.Fetcher) mirror.Store { return platform.NewStore(s.StoreAddress, f) },
 		CopyClient: func(pool *upstreamclient.Pool) relocation.CopyClient { return platform.NewEngineClient(pool) },
 	}, log, t)
 }
--- a/internal/connection/upstreamclient/answer.go
+++ b/internal/connection/upstreamclient/answer.go
@@ -56,11 +56,15 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errors.Newf("body exceeds %d bytes", limit)}
+		return nil, a.tooLarge(limit)
 	}
 	return body, nil
 }
 
+func (a *Answer) tooLarge(limit int64) error {
+	return &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errors.Newf("body exceeds %d bytes", limit)}
+}
+
 // Close ends the exchange. The connection is kept for reuse if the request was
 // sent completely, the body was read to its end and no bytes follow it.
 func (a *Answer) Close() {
--- /dev/null
+++ b/internal/connection/upstreamclient/fetcher.go
@@ -0,0 +1,81 @@
+package upstreamclient
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrStalled is the cause of a failure if the peer sent nothing for too long.
+var ErrStalled = errors.New("peer sent nothing for too long")
+
+// FetchLimits bound a fetch by its progress instead of its duration, since the
+// duration depends on the size of the answer and on the link.
+type FetchLimits struct {
+	// Head is the time until the head of the answer, in addition to the time for
+	// which the peer may hold the request.
+	Head time.Duration
+	// Stall is the longest time between two reads of the body.
+	Stall time.Duration
+	// Total bounds the fetch if the peer sends slowly without end.
+	Total time.Duration
+	// MaxBytes bounds the body.
+	MaxBytes int64
+}
+
+// Fetcher sends requests and reads complete answers. It is safe for concurrent
+// use.
+type Fetcher struct {
+	pool   *Pool
+	limits FetchLimits
+}
+
+// NewFetcher returns a fetcher that uses the pool.
+func NewFetcher(p *Pool, l FetchLimits) *Fetcher { return &Fetcher{pool: p, limits: l} }
+
+// Reply is a complete answer.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// Fetch sends the request, which the peer may hold for the given time, and reads
+// the complete answer.
+func (f *Fetcher) Fetch(ctx context.Context, address string, r *Request, hold time.Duration) (Reply, error) {
+	ctx, end := context.WithTimeout(ctx, hold+f.limits.Total)
+	defer end()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(hold+f.limits.Head, func() { cancel(ErrStalled) })
+	defer stall.Stop()
+	answer, err := f.pool.Send(ctx, address, r)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(&watchedReader{answer, stall, f.limits.Stall}, f.limits.MaxBytes+1))
+	if err != nil {
+		return Reply{}, err
+	}
+	if int64(len(body)) > f.limits.MaxBytes {
+		return Reply{}, answer.tooLarge(f.limits.MaxBytes)
+	}
+	return Reply{Status: answer.Status, Body: body}, nil
+}
+
+// watchedReader restarts the timer at each read that returns bytes.
+type watchedReader struct {
+	source io.Reader
+	timer  *time.Timer
+	limit  time.Duration
+}
+
+func (w *watchedReader) Read(buffer []byte) (int, error) {
+	n, err := w.source.Read(buffer)
+	if n > 0 {
+		w.timer.Reset(w.limit)
+	}
+	return n, err
+}
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -14,10 +14,6 @@
 	// watchWait is how long the store holds a watch open without a change. It
 	// bounds the time until a dead connection is detected.
 	watchWait = 700 * time.Millisecond
-	// watchMargin is the time that a watch may take beyond watchWait.
-	watchMargin = 700 * time.Millisecond
-	// snapshotTimeout bounds a read of all items.
-	snapshotTimeout = 2500 * time.Millisecond
 	// idlePollInterval is the time between two checks of whether the store must be
 	// queried.
 	idlePollInterval = 50 * time.Millisecond
@@ -33,7 +29,8 @@
 // changes after the requested revision.
 var ErrCompacted = errors.New("the store has compacted its history after the revision")
 
-// Store is the platform's metadata store.
+// Store is the platform's metadata store. Its calls end by themselves if the
+// store stops sending.
 type Store interface {
 	// Snapshot returns all items. The revision of the batch is the one at which the
 	// first item was read.
@@ -104,8 +101,6 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
 	batch, err := f.store.Snapshot(ctx)
 	if err != nil {
 		return err
@@ -118,9 +113,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after int64) error {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-	defer cancel()
-	batch, err := f.store.Watch(callCtx, after, watchWait)
+	batch, err := f.store.Watch(ctx, after, watchWait)
 	if err != nil {
 		return err
 	}
--- a/internal/process/mirror/item.go
+++ b/internal/process/mirror/item.go
@@ -8,6 +8,18 @@
 	// Revision is the store's revision at the last change of the key.
 	Revision int64 `json:"revision"`
 	Deleted  bool  `json:"deleted,omitempty"`
+	// Steps and Compressed stand for Value in a batch of EncodedSince. Steps lead
+	// from a version that the receiver holds to this one; Compressed holds this one.
+	Steps      []Step `json:"steps,omitempty"`
+	Compressed []byte `json:"compressed,omitempty"`
+}
+
+// Step is the difference between two versions of a value.
+type Step struct {
+	// Base and Revision are the revisions of the two versions.
+	Base       int64  `json:"base"`
+	Revision   int64  `json:"revision"`
+	Difference []byte `json:"difference"`
 }
 
 // StoreSource is the source of the batches that the store itself sent.
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -28,6 +28,8 @@
 	mu sync.Mutex
 	// items holds the latest state of each key, including deleted keys.
 	items map[string]Item
+	// lineages holds how the large values can be sent, by key.
+	lineages map[string]*lineage
 	// revision is the revision up to which the items are complete.
 	revision int64
 	// compactedRevision is the lowest revision after which all deleted keys are
@@ -47,7 +49,7 @@
 // New returns an empty mirror that calls onChange with the changes of each
 // batch.
 func New(onChange func(changes []Change, now time.Time)) *Mirror {
-	return &Mirror{onChange: onChange, items: make(map[string]Item), revisionChanged: make(chan struct{})}
+	return &Mirror{onChange: onChange, items: make(map[string]Item), lineages: make(map[string]*lineage), revisionChanged: make(chan struct{})}
 }
 
 // Apply stores the items of the batch that are newer than the ones held.
@@ -84,6 +86,8 @@
 		m.tombstones++
 		item.Value = nil
 	}
+	m.updateLineage(item)
+	item.Steps, item.Compressed = nil, nil
 	m.items[item.Key] = item
 	return Change{Item: item, Source: source, Unconfirmed: item.Deleted && now.Before(m.unstableUntil)}
 }
@@ -123,6 +127,11 @@
 func (m *Mirror) Since(revision int64) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.since(revision)
+}
+
+// since is Since with the lock held.
+func (m *Mirror) since(revision int64) Batch {
 	b := Batch{Revision: m.revision, Full: revision < m.compactedRevision || revision == 0}
 	for _, item := range m.items {
 		if b.Full && item.Deleted {
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -32,20 +32,42 @@
 	// UnstableMillis is the remaining time in which deletions count as unconfirmed,
 	// because the store was unstable.
 	UnstableMillis int64 `json:"unstable_ms,omitempty"`
+	// Encoded is true if the sender decodes encoded items. Held then holds the
+	// revisions of the sender's large values, by key, and Complete is true if the
+	// response may contain large values completely.
+	Encoded  bool             `json:"encoded,omitempty"`
+	Held     map[string]int64 `json:"held,omitempty"`
+	Complete bool             `json:"complete,omitempty"`
 	// Batch holds the items that the receiver lacks; it is set in responses only.
 	Batch *mirror.Batch `json:"batch,omitempty"`
 }
 
 // exchange sends this router's state to the peer and applies the items of the
-// response that this router lacks. It reports whether the peer answered.
+// response that this router lacks. It reports whether the peer answered and this
+// router now has the peer's items.
 func (p *Peers) exchange(ctx context.Context, address string, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-	defer cancel()
+	// Complete values are requested from one peer at a time, so that transfers do
+	// not share the link.
+	if p.completing.TryLock() {
+		defer p.completing.Unlock()
+		return p.exchangeItems(ctx, address, wait, true)
+	}
+	return p.exchangeItems(ctx, address, wait, false)
+}
+
+func (p *Peers) exchangeItems(ctx context.Context, address string, wait time.Duration, complete bool) bool {
 	revision, _ := p.mirror.Revision()
 	request := p.message(revision)
 	request.WaitMillis = wait.Milliseconds()
+	request.Encoded, request.Complete = true, complete
+	if !p.undecoded.Load() {
+		request.Held = p.mirror.Held()
+	}
 	start := p.clock()
-	response, err := p.call(ctx, address, request)
+	response, err := p.call(ctx, address, request, wait)
+	if err == nil {
+		err = p.applyBatch(address, response.Batch, revision)
+	}
 	elapsed := p.clock().Sub(start)
 	if err != nil {
 		p.metrics.failed.Inc(1)
@@ -61,12 +83,25 @@
 	if response.UnstableMillis > 0 {
 		p.mirror.MarkUnstable(p.clock().Add(time.Duration(response.UnstableMillis) * time.Millisecond))
 	}
-	if response.Batch != nil && response.Batch.Revision > revision {
-		response.Batch.Source = address
-		p.mirror.Apply(*response.Batch, p.clock())
-	}
 	p.recordStoreContact(response)
-	return true
+	revision, _ = p.mirror.Revision()
+	return revision >= response.Revision
+}
+
+// applyBatch applies the batch of a peer, nil for none. After an error, large
+// values are requested without reference to the ones held.
+func (p *Peers) applyBatch(address string, batch *mirror.Batch, revision int64) error {
+	if batch == nil || batch.Revision <= revision {
+		return nil
+	}
+	decoded, err := p.mirror.Decode(*batch)
+	p.undecoded.Store(err != nil)
+	if err != nil {
+		return err
+	}
+	decoded.Source = address
+	p.mirror.Apply(decoded, p.clock())
+	return nil
 }
 
 // recordStoreContact records when the store last answered the peer, if this
@@ -104,29 +139,25 @@
 	return m
 }
 
-func (p *Peers) call(ctx context.Context, address string, m message) (message, error) {
+// call sends the message to the peer, which may hold it for the given time.
+func (p *Peers) call(ctx context.Context, address string, m message, hold time.Duration) (message, error) {
 	body, err := json.Marshal(m)
 	if err != nil {
 		return message{}, errors.Wrap(err, "encode exchange")
 	}
-	response, err := p.pool.Send(ctx, address, &upstreamclient.Request{
+	response, err := p.fetcher.Fetch(ctx, address, &upstreamclient.Request{
 		Method: http.MethodPost, Target: exchangePath, Host: address, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}},
-	})
-	if err != nil {
-		return message{}, err
-	}
-	defer response.Close()
-	content, err := response.Body(maxMessageBytes)
+	}, hold)
 	if err != nil {
 		return message{}, err
 	}
-	p.metrics.bytesReceived.Inc(int64(len(content)))
+	p.metrics.bytesReceived.Inc(int64(len(response.Body)))
 	if response.Status != http.StatusOK {
 		return message{}, errors.Newf("peer %s answered with status %d", address, response.Status)
 	}
 	var reply message
-	return reply, errors.Wrapf(json.Unmarshal(content, &reply), "decode response of peer %s", address)
+	return reply, errors.Wrapf(json.Unmarshal(response.Body, &reply), "decode response of peer %s", address)
 }
 
 // ServeHTTP handles an exchange that another router has started.
@@ -140,9 +171,9 @@
 	p.addCandidates(m.Peers)
 	p.recordStop(m)
 	p.awaitChange(r.Context(), m)
-	batch := p.mirror.Since(m.Revision)
+	batch, ok := p.batchFor(m)
 	reply := p.message(batch.Revision)
-	if batch.Revision > m.Revision && p.mirror.HasSynced() {
+	if ok && batch.Revision > m.Revision && p.mirror.HasSynced() {
 		reply.Batch = &batch
 	}
 	body, err := json.Marshal(reply)
@@ -154,6 +185,15 @@
 	_, _ = w.Write(body)
 }
 
+// batchFor returns the items that the sender of the message lacks, and whether it
+// may receive them.
+func (p *Peers) batchFor(m message) (mirror.Batch, bool) {
+	if !m.Encoded {
+		return p.mirror.Since(m.Revision), true
+	}
+	return p.mirror.EncodedSince(m.Revision, m.Held, m.Complete)
+}
+
 // awaitChange waits until this router has a newer revision than the sender of
 // the message, but no longer than the message allows.
 func (p *Peers) awaitChange(ctx context.Context, m message) {
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,9 +27,7 @@
 	fastGossipInterval = 150 * time.Millisecond
 	// longPollWait is how long a reader holds an exchange without a change.
 	longPollWait = 500 * time.Millisecond
-	// callTimeout bounds an exchange, in addition to the time that it is held.
-	callTimeout = 500 * time.Millisecond
-	// longPollRetryDelay is the pause after a reader failed to answer.
+	// longPollRetryDelay is the pause after a reader failed to send its items.
 	longPollRetryDelay = 100 * time.Millisecond
 	// peerTimeout is how long after the last contact a peer counts as lost.
 	peerTimeout = 8 * time.Second
@@ -45,17 +44,26 @@
 	maxMessageBytes = 32 << 20
 )
 
+// exchangeLimits bound an exchange.
+var exchangeLimits = upstreamclient.FetchLimits{
+	Head: 500 * time.Millisecond, Stall: time.Second, Total: 10 * time.Second, MaxBytes: maxMessageBytes,
+}
+
 // Peers holds what one router knows about the others. It is safe for concurrent
 // use.
 type Peers struct {
-	self   string
-	mirror *mirror.Mirror
-	pool   *upstreamclient.Pool
-	log    *eventlog.Log
-	clock  func() time.Time
+	self    string
+	mirror  *mirror.Mirror
+	fetcher *upstreamclient.Fetcher
+	log     *eventlog.Log
+	clock   func() time.Time
 
 	metrics  *metrics
 	failures *failures
+	// completing is held by the exchange that may receive large values completely.
+	completing sync.Mutex
+	// undecoded is true if the last items could not be decoded.
+	undecoded atomic.Bool
 
 	mu    sync.Mutex
 	seeds []string
@@ -74,7 +82,7 @@
 // router's peer address.
 func New(self string, seeds []string, m *mirror.Mirror, pool *upstreamclient.Pool, log *eventlog.Log, scope tally.Scope, clock func() time.Time) *Peers {
 	return &Peers{
-		self: self, seeds: seeds, mirror: m, pool: pool, log: log, clock: clock, metrics: newMetrics(scope), failures: newFailures(log),
+		self: self, seeds: seeds, mirror: m, fetcher: upstreamclient.NewFetcher(pool, exchangeLimits), log: log, clock: clock, metrics: newMetrics(scope), failures: newFailures(log),
 		lastContact: make(map[string]time.Time), stopTimes: make(map[string]time.Time),
 	}
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -52,13 +52,19 @@
 	reservedDescriptors = 1200
 )
 
+// storeLimits bound the calls to the store.
+var storeLimits = upstreamclient.FetchLimits{
+	Head: 700 * time.Millisecond, Stall: time.Second, Total: 10 * time.Second, MaxBytes: 64 << 20,
+}
+
 // Platform holds the platform-specific dependencies of a router.
 type Platform struct {
 	Settings hostsettings.Settings
 	Headers  headers.Names
 	Decoder  fleetview.Decoder
-	// Store and CopyClient return clients over the pool.
-	Store      func(pool *upstreamclient.Pool) mirror.Store
+	// Store returns a client of the store that uses the fetcher, and CopyClient a
+	// client of the engines that uses the pool.
+	Store      func(fetcher *upstreamclient.Fetcher) mirror.Store
 	CopyClient func(pool *upstreamclient.Pool) relocation.CopyClient
 }
 
@@ -98,7 +104,7 @@
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
 	r.mirror = mirror.New(r.view.Apply)
 	r.peers = peers.New(s.PeerAddress, s.Seeds, r.mirror, r.pool, log, t.Scope(), r.clock)
-	r.follower = mirror.NewFollower(r.mirror, p.Store(r.pool), log, r.clock, storeChangeDelay, r.peers.MustQueryStore)
+	r.follower = mirror.NewFollower(r.mirror, p.Store(upstreamclient.NewFetcher(r.pool, storeLimits)), log, r.clock, storeChangeDelay, r.peers.MustQueryStore)
 	r.notice.Store(int64(s.ShutdownNotice))
 	r.budget = retrywindow.New(retryBound(s), r.peers.Count)
 	r.reporters = reporterclient.New(r.pool, r.directory, r.hasReporters, s.ReporterPort, log, r.clock)
