Name only routers with a contact of one's own to others

What callers saw: nothing yet on its own; found while looking for other causes of a configuration that stays behind. A follower that polls a reader which has gone loses up to 1 s in each round.

Cause: a router removes a peer 8 s after the last contact, but others that have not removed it yet name it, and it is added again for 4 s and named on. A router that has gone circulates for as long as the fleet lives, counts in the shares of the retry bound and of cold upstreams, and may be chosen as a reader.

Change: what a router knows of a peer is one struct; only peers with a contact of one's own are named. Ruled out: a list of removed peers (needs a bound in time, and a router that comes back at the same address must not wait for it).

--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -19,7 +19,8 @@
 	Address string `json:"address"`
 	// Revision is the revision of the sender's mirror.
 	Revision int64 `json:"revision"`
-	// Peers holds the addresses of the routers that the sender considers alive.
+	// Peers holds the addresses of the routers that the sender considers alive and
+	// had a contact with.
 	Peers []string `json:"peers"`
 	// WaitMillis is how long the receiver may hold the request until it has a newer
 	// revision.
@@ -124,7 +125,7 @@
 // message returns a message with this router's state.
 func (p *Peers) message(revision int64) message {
 	age := p.contactAge()
-	m := message{Address: p.self, Revision: revision, Peers: p.alive(), ContactAgeMillis: age.Milliseconds()}
+	m := message{Address: p.self, Revision: revision, Peers: p.confirmed(), ContactAgeMillis: age.Milliseconds()}
 	if age < 0 {
 		m.ContactAgeMillis = -1
 	}
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -67,10 +67,8 @@
 
 	mu    sync.Mutex
 	seeds []string
-	// lastContact holds the time of the last contact with each peer, by address.
-	lastContact map[string]time.Time
-	// stopTimes holds the time at which each stopping peer exits, by address.
-	stopTimes map[string]time.Time
+	// known holds the peers that count as alive or have just been lost, by address.
+	known map[string]peer
 	// ownStopTime is when this router exits, zero if it is not stopping.
 	ownStopTime time.Time
 	// storeContact is when the store last answered another router whose items this
@@ -83,7 +81,7 @@
 func New(self string, seeds []string, m *mirror.Mirror, pool *upstreamclient.Pool, log *eventlog.Log, scope tally.Scope, clock func() time.Time) *Peers {
 	return &Peers{
 		self: self, seeds: seeds, mirror: m, fetcher: upstreamclient.NewFetcher(pool, exchangeLimits), log: log, clock: clock, metrics: newMetrics(scope), failures: newFailures(log),
-		lastContact: make(map[string]time.Time), stopTimes: make(map[string]time.Time),
+		known: make(map[string]peer),
 	}
 }
 
@@ -195,59 +193,5 @@
 	return candidates[rand.IntN(len(candidates))]
 }
 
-func (p *Peers) alive() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock()
-	alive := make([]string, 0, len(p.lastContact))
-	for address, at := range p.lastContact {
-		if now.Sub(at) <= peerTimeout {
-			alive = append(alive, address)
-		}
-	}
-	return alive
-}
-
-func (p *Peers) removeLost() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock()
-	for address, at := range p.lastContact {
-		if now.Sub(at) > peerTimeout {
-			delete(p.lastContact, address)
-			delete(p.stopTimes, address)
-			p.failures.forget(address)
-			p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(at)).Send()
-		}
-	}
-}
-
-// recordContact records that the peer is alive.
-func (p *Peers) recordContact(address string) {
-	if address == "" || address == p.self {
-		return
-	}
-	p.mu.Lock()
-	_, known := p.lastContact[address]
-	p.lastContact[address] = p.clock()
-	p.mu.Unlock()
-	if !known {
-		p.log.Emit(eventlog.PeerFound).Str("peer", address).Send()
-	}
-}
-
-// addCandidates adds peers that another router has named. Without a contact of
-// this router's own, they count as lost after half of peerTimeout.
-func (p *Peers) addCandidates(addresses []string) {
-	now := p.clock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, a := range addresses {
-		if _, known := p.lastContact[a]; !known && a != p.self && a != "" {
-			p.lastContact[a] = now.Add(-peerTimeout / 2)
-		}
-	}
-}
-
 // Path returns the URL path at which ServeHTTP must be served.
 func Path() string { return exchangePath }
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -159,3 +161,29 @@
 	p.recordStoreContact(message{Revision: 5, ContactAgeMillis: 0})
 	require.True(t, p.storeLost())
 }
+
+// Guards against a router that has gone and is named by the others in turns, so that none forgets it.
+func TestLostRouterIsForgottenByAll(t *testing.T) {
+	now := time.Now()
+	clock := func() time.Time { return now }
+	routers := make([]*Peers, 5)
+	for i := range routers {
+		m := mirror.New(func([]mirror.Change, time.Time) {})
+		routers[i] = New(fmt.Sprintf("router-%d:1", i), nil, m, nil, eventlog.Discard(), tally.NoopScope, clock)
+		routers[i].recordContact("gone:1")
+		now = now.Add(peerTimeout / 6)
+	}
+	for range 60 {
+		now = now.Add(peerTimeout / 10)
+		for i, r := range routers {
+			other := routers[(i+1+rand.IntN(len(routers)-1))%len(routers)]
+			r.recordContact(other.self)
+			r.addCandidates(other.message(0).Peers)
+			r.removeLost()
+		}
+	}
+	for _, r := range routers {
+		require.NotContains(t, r.alive(), "gone:1")
+		require.Equal(t, len(routers), r.Count())
+	}
+}
--- a/internal/process/peers/stopping.go
+++ b/internal/process/peers/stopping.go
@@ -31,8 +31,8 @@
 	defer p.mu.Unlock()
 	earliest := p.ownStopTime
 	for _, address := range alive {
-		end, stopping := p.stopTimes[address]
-		if !stopping || end.Before(now) {
+		end := p.known[address].stopTime
+		if end.Before(now) {
 			return 0
 		}
 		if earliest.IsZero() || end.Before(earliest) {
@@ -44,14 +44,15 @@
 
 // recordStop records when the peer exits, or that it is not stopping.
 func (p *Peers) recordStop(m message) {
-	if m.Address == "" {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m.StopsInMillis <= 0 {
-		delete(p.stopTimes, m.Address)
+	k, known := p.known[m.Address]
+	if !known {
 		return
 	}
-	p.stopTimes[m.Address] = p.clock().Add(time.Duration(m.StopsInMillis) * time.Millisecond)
+	k.stopTime = time.Time{}
+	if m.StopsInMillis > 0 {
+		k.stopTime = p.clock().Add(time.Duration(m.StopsInMillis) * time.Millisecond)
+	}
+	p.known[m.Address] = k
 }
