Name peers with the age of their last contact

With exchanges at random a router has had a contact with about 16 others in the 8 s after which a peer counts as lost, so that in a fleet of hundreds the others would be counted too few, and the shares of the retry bound and of cold upstreams too large.

Change: each name carries the age of the last contact that the sender, or a router from which it knows, had; a router takes the newest. A router that has gone is forgotten by all 8 s after the last contact of any. Messages of earlier builds, without ages, are taken as before.

--- a/internal/process/hostsettings/settings.go
+++ b/internal/process/hostsettings/settings.go
@@ -30,6 +30,9 @@
 	UpstreamAddress string
 	// StoreAddress is the address of the platform's metadata store.
 	StoreAddress string
+	// LinkMbps is the bandwidth of the instance's network link in megabits a second,
+	// 0 if unknown.
+	LinkMbps float64
 	// MaxDescriptors is the limit of open file descriptors of the process.
 	MaxDescriptors int
 	// ShutdownNotice is the time between SIGTERM and SIGKILL.
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -19,9 +19,15 @@
 	Address string `json:"address"`
 	// Revision is the revision of the sender's mirror.
 	Revision int64 `json:"revision"`
-	// Peers holds the addresses of the routers that the sender considers alive and
-	// had a contact with.
-	Peers []string `json:"peers"`
+	// Peers holds the addresses of the routers that the sender considers alive, and
+	// PeerAgesMillis for each the age of the last contact that the sender or a router
+	// from which it knows had with it.
+	Peers          []string `json:"peers"`
+	PeerAgesMillis []int64  `json:"peer_ages_ms,omitempty"`
+	// LinkMbps is the bandwidth of the sender's link, 0 if unknown. Readers are the
+	// routers that, to the sender's knowledge, query the store on behalf of all.
+	LinkMbps float64  `json:"link_mbps,omitempty"`
+	Readers  []reader `json:"readers,omitempty"`
 	// WaitMillis is how long the receiver may hold the request until it has a newer
 	// revision.
 	WaitMillis int64 `json:"wait_ms,omitempty"`
@@ -78,9 +84,7 @@
 	p.metrics.succeeded.Inc(1)
 	p.metrics.elapsed.RecordDuration(elapsed)
 	p.failures.noteSuccess(address, response.Revision, elapsed)
-	p.recordContact(address)
-	p.addCandidates(response.Peers)
-	p.recordStop(response)
+	p.recordSender(address, response)
 	if response.UnstableMillis > 0 {
 		p.mirror.MarkUnstable(p.clock().Add(time.Duration(response.UnstableMillis) * time.Millisecond))
 	}
@@ -105,6 +109,14 @@
 	return nil
 }
 
+// recordSender records what the message of a peer says of itself and of others.
+func (p *Peers) recordSender(address string, m message) {
+	p.recordContact(address)
+	p.addNamed(m.Peers, m.PeerAgesMillis)
+	p.setLinks(append([]reader{{address, m.LinkMbps}}, m.Readers...))
+	p.recordStop(m)
+}
+
 // recordStoreContact records when the store last answered the peer, if this
 // router has all items that the peer has.
 func (p *Peers) recordStoreContact(m message) {
@@ -125,7 +137,8 @@
 // message returns a message with this router's state.
 func (p *Peers) message(revision int64) message {
 	age := p.contactAge()
-	m := message{Address: p.self, Revision: revision, Peers: p.confirmed(), ContactAgeMillis: age.Milliseconds()}
+	names, ages := p.named()
+	m := message{Address: p.self, Revision: revision, Peers: names, PeerAgesMillis: ages, LinkMbps: p.linkMbps, Readers: p.readers(), ContactAgeMillis: age.Milliseconds()}
 	if age < 0 {
 		m.ContactAgeMillis = -1
 	}
@@ -168,9 +181,7 @@
 		http.Error(w, "the exchange cannot be decoded", http.StatusBadRequest)
 		return
 	}
-	p.recordContact(m.Address)
-	p.addCandidates(m.Peers)
-	p.recordStop(m)
+	p.recordSender(m.Address, m)
 	p.awaitChange(r.Context(), m)
 	batch, ok := p.batchFor(m)
 	reply := p.message(batch.Revision)
--- a/internal/process/peers/peer.go
+++ b/internal/process/peers/peer.go
@@ -8,38 +8,40 @@
 
 // peer is what a router knows about another one.
 type peer struct {
-	// lastContact is the time of the last contact. For a peer that only others have
-	// named, it is a time that makes the peer count as lost soon.
-	lastContact time.Time
-	// confirmed is true once this router had a contact of its own. Only confirmed
-	// peers are named to others, so that a lost peer is not named in turns forever.
-	confirmed bool
+	// heard is the time of the last contact that this router or one that named the
+	// peer had with it.
+	heard time.Time
+	// contacted is true once this router had a contact of its own.
+	contacted bool
+	// linkMbps is the bandwidth of the peer's link, 0 if unknown.
+	linkMbps float64
 	// stopTime is when the peer exits, zero if it is not stopping.
 	stopTime time.Time
 }
 
-func (p peer) alive(now time.Time) bool { return now.Sub(p.lastContact) <= peerTimeout }
+func (p peer) alive(now time.Time) bool { return now.Sub(p.heard) <= peerTimeout }
 
 // alive returns the addresses of the peers that count as alive.
-func (p *Peers) alive() []string { return p.filter(func(peer) bool { return true }) }
-
-// confirmed returns the addresses of the peers that count as alive and had a
-// contact with this router.
-func (p *Peers) confirmed() []string {
-	return p.filter(func(k peer) bool { return k.confirmed })
+func (p *Peers) alive() []string {
+	names, _ := p.named()
+	return names
 }
 
-func (p *Peers) filter(accept func(peer) bool) []string {
+// named returns the addresses of the peers that count as alive, and for each the
+// age of the last contact in milliseconds.
+func (p *Peers) named() (names []string, ages []int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	selected := make([]string, 0, len(p.known))
+	names = make([]string, 0, len(p.known))
+	ages = make([]int64, 0, len(p.known))
 	for address, k := range p.known {
-		if k.alive(now) && accept(k) {
-			selected = append(selected, address)
+		if k.alive(now) {
+			names = append(names, address)
+			ages = append(ages, now.Sub(k.heard).Milliseconds())
 		}
 	}
-	return selected
+	return names, ages
 }
 
 func (p *Peers) removeLost() {
@@ -52,7 +54,7 @@
 		}
 		delete(p.known, address)
 		p.failures.forget(address)
-		p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(k.lastContact)).Send()
+		p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(k.heard)).Send()
 	}
 }
 
@@ -63,9 +65,9 @@
 	}
 	p.mu.Lock()
 	k := p.known[address]
-	found := !k.confirmed
-	k.lastContact = p.clock()
-	k.confirmed = true
+	found := !k.contacted
+	k.heard = p.clock()
+	k.contacted = true
 	p.known[address] = k
 	p.mu.Unlock()
 	if found {
@@ -73,15 +75,27 @@
 	}
 }
 
-// addCandidates adds peers that another router has named. Without a contact of
-// this router's own, they count as lost after half of peerTimeout.
-func (p *Peers) addCandidates(addresses []string) {
+// addNamed records the peers that another router has named, with the ages of
+// their last contacts. Peers of a router that sends no ages count as lost after
+// half of peerTimeout, unless there is a contact.
+func (p *Peers) addNamed(names []string, ages []int64) {
 	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, a := range addresses {
-		if _, known := p.known[a]; !known && a != p.self && a != "" {
-			p.known[a] = peer{lastContact: now.Add(-peerTimeout / 2)}
+	for i, address := range names {
+		if address == p.self || address == "" {
+			continue
+		}
+		k, known := p.known[address]
+		heard := now.Add(-peerTimeout / 2)
+		if len(ages) == len(names) {
+			heard = now.Add(-time.Duration(max(0, ages[i])) * time.Millisecond)
+		} else if known {
+			continue
+		}
+		if heard.After(k.heard) && now.Sub(heard) <= peerTimeout {
+			k.heard = heard
+			p.known[address] = k
 		}
 	}
 }
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -9,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
@@ -52,11 +50,13 @@
 // Peers holds what one router knows about the others. It is safe for concurrent
 // use.
 type Peers struct {
-	self    string
-	mirror  *mirror.Mirror
-	fetcher *upstreamclient.Fetcher
-	log     *eventlog.Log
-	clock   func() time.Time
+	self string
+	// linkMbps is the bandwidth of this router's link, 0 if unknown.
+	linkMbps float64
+	mirror   *mirror.Mirror
+	fetcher  *upstreamclient.Fetcher
+	log      *eventlog.Log
+	clock    func() time.Time
 
 	metrics  *metrics
 	failures *failures
@@ -76,12 +76,27 @@
 	storeContact time.Time
 }
 
-// New returns a Peers that knows only the seeds. The address self is this
-// router's peer address.
-func New(self string, seeds []string, m *mirror.Mirror, pool *upstreamclient.Pool, log *eventlog.Log, scope tally.Scope, clock func() time.Time) *Peers {
+// Options are the dependencies of a Peers.
+type Options struct {
+	// Address is this router's peer address.
+	Address string
+	// LinkMbps is the bandwidth of this router's link in megabits a second, 0 if
+	// unknown.
+	LinkMbps float64
+	Seeds    []string
+	Mirror   *mirror.Mirror
+	Pool     *upstreamclient.Pool
+	Log      *eventlog.Log
+	Scope    tally.Scope
+	Clock    func() time.Time
+}
+
+// New returns a Peers that knows only the seeds.
+func New(o Options) *Peers {
 	return &Peers{
-		self: self, seeds: seeds, mirror: m, fetcher: upstreamclient.NewFetcher(pool, exchangeLimits), log: log, clock: clock, metrics: newMetrics(scope), failures: newFailures(log),
-		known: make(map[string]peer),
+		self: o.Address, linkMbps: o.LinkMbps, seeds: o.Seeds, mirror: o.Mirror,
+		fetcher: upstreamclient.NewFetcher(o.Pool, exchangeLimits), log: o.Log, clock: o.Clock,
+		metrics: newMetrics(o.Scope), failures: newFailures(o.Log), known: make(map[string]peer),
 	}
 }
 
@@ -132,7 +147,7 @@
 // followReaders long-polls the readers one after another until the context ends.
 func (p *Peers) followReaders(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		selected := p.readers()
+		selected := addresses(p.readers())
 		if slices.Contains(selected, p.self) {
 			pause.For(ctx, longPollWait)
 			continue
@@ -143,20 +158,10 @@
 	}
 }
 
-// readers returns the routers that query the store on behalf of all. Routers
-// that know the same peers agree on the readers. The result is never empty.
-func (p *Peers) readers() []string {
-	candidates := append(p.alive(), p.self)
-	slices.SortFunc(candidates, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
-	return candidates[:min(readerCount, len(candidates))]
-}
-
 // MustQueryStore reports whether this router has to query the store itself,
 // because it is a reader or because the store counts as lost.
 func (p *Peers) MustQueryStore() bool {
-	return slices.Contains(p.readers(), p.self) || p.storeLost()
+	return slices.Contains(addresses(p.readers()), p.self) || p.storeLost()
 }
 
 // storeLost reports whether the store has answered neither this router nor a
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -41,7 +41,10 @@
 		m := mirror.New(func([]mirror.Change, time.Time) {})
 		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
 		seeds := []string{sockets[0].Addr().String(), "127.0.0.1:1"}
-		p := New(sockets[i].Addr().String(), seeds, m, pool, eventlog.Discard(), tally.NoopScope, time.Now)
+		p := New(Options{
+			Address: sockets[i].Addr().String(), Seeds: seeds, Mirror: m, Pool: pool,
+			Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		})
 		server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 		nodes[i] = &node{peers: p, mirror: m, server: server}
 		running.Go(func() { _ = server.Serve(sockets[i]) })
@@ -129,7 +132,10 @@
 // Guards against a router that relies on readers which have lost contact with
 // the store.
 func TestRouterQueriesStoreOnceReadersLoseContact(t *testing.T) {
-	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), tally.NoopScope, time.Now)
+	p := New(Options{
+		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
+		Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+	})
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
 	p.recordStoreContact(message{Revision: 1, ContactAgeMillis: 0})
@@ -141,7 +147,10 @@
 // Guards against sending callers to another router which is stopping as well.
 func TestTimeUntilAvailableWithStoppingPeers(t *testing.T) {
 	now := time.Now()
-	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), tally.NoopScope, func() time.Time { return now })
+	p := New(Options{
+		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
+		Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+	})
 	p.ownStopTime = now.Add(7 * time.Second)
 	p.recordContact("a:1")
 	p.recordContact("b:1")
@@ -157,31 +166,42 @@
 // Guards against counting the store contact of a peer whose items this router
 // lacks.
 func TestStoreContactCountsOnlyWithPeersItems(t *testing.T) {
-	p := New("self:1", nil, mirror.New(func([]mirror.Change, time.Time) {}), nil, eventlog.Discard(), tally.NoopScope, time.Now)
+	p := New(Options{
+		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
+		Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+	})
 	p.recordStoreContact(message{Revision: 5, ContactAgeMillis: 0})
 	require.True(t, p.storeLost())
 }
 
+// gossip lets each router exchange messages with one other in each of the rounds,
+// 1 s apart.
+func gossip(routers []*Peers, now *time.Time, rounds int) {
+	for range rounds {
+		*now = now.Add(gossipInterval)
+		for i, r := range routers {
+			other := routers[(i+1+rand.IntN(len(routers)-1))%len(routers)]
+			other.recordSender(r.self, r.message(0))
+			r.recordSender(other.self, other.message(0))
+			r.removeLost()
+		}
+	}
+}
+
 // Guards against a router that has gone and is named by the others in turns, so that none forgets it.
 func TestLostRouterIsForgottenByAll(t *testing.T) {
 	now := time.Now()
-	clock := func() time.Time { return now }
-	routers := make([]*Peers, 5)
+	routers := make([]*Peers, 100)
 	for i := range routers {
-		m := mirror.New(func([]mirror.Change, time.Time) {})
-		routers[i] = New(fmt.Sprintf("router-%d:1", i), nil, m, nil, eventlog.Discard(), tally.NoopScope, clock)
+		routers[i] = New(Options{
+			Address: fmt.Sprintf("router-%d:1", i), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
+			Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+		})
 		routers[i].recordContact("gone:1")
-		now = now.Add(peerTimeout / 6)
-	}
-	for range 60 {
-		now = now.Add(peerTimeout / 10)
-		for i, r := range routers {
-			other := routers[(i+1+rand.IntN(len(routers)-1))%len(routers)]
-			r.recordContact(other.self)
-			r.addCandidates(other.message(0).Peers)
-			r.removeLost()
-		}
+		routers[i].addNamed([]string{"router-0:1"}, nil)
+		now = now.Add(peerTimeout / 100)
 	}
+	gossip(routers, &now, 20)
 	for _, r := range routers {
 		require.NotContains(t, r.alive(), "gone:1")
 		require.Equal(t, len(routers), r.Count())
--- a/internal/process/peers/smalllinks_test.go
+++ b/internal/process/peers/smalllinks_test.go
@@ -215,7 +215,10 @@
 		address := socket.Addr().String()
 		m := mirror.New(func(changes []mirror.Change, now time.Time) { adopted.record(i, changes, now) })
 		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
-		p := New(address, []string{sockets[0].Addr().String()}, m, pool, eventlog.Discard(), tally.NoopScope, time.Now)
+		p := New(Options{
+			Address: address, Seeds: []string{sockets[0].Addr().String()}, Mirror: m, Pool: pool,
+			Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		})
 		f := mirror.NewFollower(m, &storeClient{store: store, link: links[address]}, eventlog.Discard(), time.Now, 0, p.MustQueryStore)
 		servers[i] = &http.Server{Handler: overLinks(p, address, links), ReadHeaderTimeout: time.Second}
 		running.Go(func() { _ = servers[i].Serve(socket) })
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -103,7 +103,10 @@
 	r.directory = directory.New(log, r.coldRate)
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
 	r.mirror = mirror.New(r.view.Apply)
-	r.peers = peers.New(s.PeerAddress, s.Seeds, r.mirror, r.pool, log, t.Scope(), r.clock)
+	r.peers = peers.New(peers.Options{
+		Address: s.PeerAddress, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Mirror: r.mirror, Pool: r.pool,
+		Log: log, Scope: t.Scope(), Clock: r.clock,
+	})
 	r.follower = mirror.NewFollower(r.mirror, p.Store(upstreamclient.NewFetcher(r.pool, storeLimits)), log, r.clock, storeChangeDelay, r.peers.MustQueryStore)
 	r.notice.Store(int64(s.ShutdownNotice))
 	r.budget = retrywindow.New(retryBound(s), r.peers.Count)
