Let the routers with the widest links read the store for all

What callers saw: see docs/incidents/configuration-behind.md; 20 of 28 routers have a link of 10 Mbit/s, and the two that distribute the configuration were chosen by a hash of their addresses alone.

Cause: the choice of a reader ignored what a reader must do most of, sending.

Change: readers are the routers with the widest links, then by the hash. The link is a setting of the instance (link_mbps in the platform's file); a router without it, such as one of an earlier build, comes last. While routers disagree, more of them query the store; none fewer.

--- a/internal/process/peers/readers.go
+++ b/internal/process/peers/readers.go
@@ -14,12 +14,14 @@
 	LinkMbps float64 `json:"link_mbps"`
 }
 
-// readers returns the routers that query the store on behalf of all. Routers that know the same peers agree on the readers. The
+// readers returns the routers that query the store on behalf of all: those with
+// the widest links. Routers that know the same peers agree on the readers. The
 // result is never empty.
 func (p *Peers) readers() []reader {
 	candidates := append(p.candidates(), reader{p.self, p.linkMbps})
 	slices.SortFunc(candidates, func(a, b reader) int {
 		return cmp.Or(
+			cmp.Compare(b.LinkMbps, a.LinkMbps),
 			cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)),
 			cmp.Compare(a.Address, b.Address),
 		)
