Log which parts of a prompt and which start of an engine a failed attempt had

The hypotheses on prompts that crash engines (a part of the prompt, the engines themselves, repeats) cannot be told apart: the lines name neither the parts of a prompt nor the engine's start.

Change: attempt_failed has parts (those that other requests may share) and incarnation. No logic changes.

--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -187,6 +187,6 @@
 	}
 	c.Metrics.attemptFailed(o)
 	c.Log.Emit(eventlog.AttemptFailed).Str("request_id", c.id).Str("upstream", v.ID).Str("service", v.Service).
-		Str("outcome", o.String()).Int("status", status).Int("calls", v.Calls).
+		Str("outcome", o.String()).Int("status", status).Int("calls", v.Calls).Int64("incarnation", v.Incarnation).Strs("parts", c.parts).
 		Bool("reported", v.Reported).Dur("report_age", v.ReportAge).Err(err).Send()
 }
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -77,9 +77,11 @@
 	service *routetable.Service
 	account string
 	// header and body are sent to upstreams.
-	header   http.Header
-	body     []byte
-	sizes    headers.Sizes
+	header http.Header
+	body   []byte
+	sizes  headers.Sizes
+	// parts are the parts of the prompt that other requests may share.
+	parts    []string
 	received time.Time
 	// deadline is the latest time of a final answer to the caller.
 	deadline time.Time
@@ -144,6 +146,7 @@
 		c.header.Set(c.Names.Account, c.account)
 	}
 	c.sizes = c.Names.Tokens(c.r.Header)
+	c.parts = c.Names.SharedParts(c.r.Header)
 	c.setDeadlines()
 	return c.refuseUnfinishable()
 }
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -170,7 +170,7 @@
 	}
 	s.Directory.RecordOutcome(v.ID, true, s.Clock())
 	s.Log.Emit(eventlog.AttemptFailed).Str("request_id", s.id).Str("upstream", v.ID).Str("outcome", "cut").
-		Int("events", s.events).Err(err).Send()
+		Int64("incarnation", v.Incarnation).Strs("parts", s.parts).Int("events", s.events).Err(err).Send()
 	return s.failAttempt(v, err)
 }
 
--- a/internal/request/headers/headers.go
+++ b/internal/request/headers/headers.go
@@ -137,6 +137,21 @@
 	return s
 }
 
+// SharedParts returns the identifiers of the parts of the prompt that other
+// requests may share: all but the last, which belongs to the request or to its
+// session.
+func (n *Names) SharedParts(h http.Header) []string {
+	parts := strings.Split(h.Get(n.PromptPrefix), ",")
+	shared := make([]string, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if id != "" {
+			shared = append(shared, id)
+		}
+	}
+	return shared
+}
+
 // count returns the non-negative number in the text, or 0 if there is none.
 func count(text string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(text))
