Hold back prompts with a part under which engines end

Cause: each failure was known to the router that saw it, as a fault of the engine. No part of the system looked at what the failing requests have in common, so that the next one went to the next engine. The class: a failure that travels with the request is attributed to whoever served it.

Change: package promptblock. Routers record the prompts that had fewer than two events when their engine closed the connection, and share the records, a set that only grows, with each exchange between routers (every 0.15 s for 2 s after a crash). A part of three separate crashes that no request survived since is blocked; a part that was seen to be sound is blocked only for crashes that no other blocked part explains; crashes within 0.3 s count as one, as one failure may end many engines. Requests whose blocked parts suffice for a known crash get 503 with the time of the next trial, which one router makes 15 s after the last crash and then less often, up to every 10 min; other requests with blocked parts are sent one a second and clear the part if they succeed. A request that ended two engines is not repeated. Events prompt_part_blocked, prompt_part_cleared, prompt_decided.

Ruled out: blocking the account, the route or the first part (sound requests share them); a block without trials (a wrong one would last); ages of successes in place of grow-only sets (they drift forward with each hop and would clear harmful parts).

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -134,6 +134,18 @@
 	ItemsReceivedAgain = Event{
 		6035, "items_received_again", zerolog.InfoLevel, "A source of items answers again after failures.", "none",
 	}
+	PromptPartBlocked = Event{
+		6036, "prompt_part_blocked", zerolog.WarnLevel,
+		"Engines ended one after the other while they began to answer prompts with this part; requests with it are refused and tried again later.",
+		"Find the part in `attempt_failed` lines; ask the account that sends it, or the engine's vendor.",
+	}
+	PromptPartCleared = Event{
+		6037, "prompt_part_cleared", zerolog.InfoLevel, "A blocked part of prompts was answered or its crashes are too old; requests with it are served.", "none",
+	}
+	PromptDecided = Event{
+		6038, "prompt_decided", zerolog.InfoLevel,
+		"A request with blocked parts of a prompt was refused, or sent as a trial.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -154,5 +166,6 @@
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
 		ItemsNotReceived, ItemsReceivedAgain,
+		PromptPartBlocked, PromptPartCleared, PromptDecided,
 	}
 }
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 )
 
 // message is the request and the response of an exchange between two routers.
@@ -45,6 +46,10 @@
 	Encoded  bool             `json:"encoded,omitempty"`
 	Held     map[string]int64 `json:"held,omitempty"`
 	Complete bool             `json:"complete,omitempty"`
+	// Evidence holds the sender's evidence on prompts, if it differs from what the
+	// receiver is known to have, and EvidenceDigest its digest.
+	Evidence       []promptblock.SharedCrash `json:"evidence,omitempty"`
+	EvidenceDigest uint64                    `json:"evidence_digest,omitempty"`
 	// Batch holds the items that the receiver lacks; it is set in responses only.
 	Batch *mirror.Batch `json:"batch,omitempty"`
 }
@@ -70,6 +75,7 @@
 	if !p.undecoded.Load() {
 		request.Held = p.mirror.Held()
 	}
+	p.addEvidence(&request, p.digestOf(address))
 	start := p.clock()
 	response, err := p.call(ctx, address, request, wait)
 	if err == nil {
@@ -115,6 +121,8 @@
 	p.addNamed(m.Peers, m.PeerAgesMillis)
 	p.setLinks(append([]reader{{address, m.LinkMbps}}, m.Readers...))
 	p.recordStop(m)
+	p.prompts.Merge(m.Evidence, p.clock())
+	p.setDigest(address, m.EvidenceDigest)
 }
 
 // recordStoreContact records when the store last answered the peer, if this
@@ -185,6 +193,7 @@
 	p.awaitChange(r.Context(), m)
 	batch, ok := p.batchFor(m)
 	reply := p.message(batch.Revision)
+	p.addEvidence(&reply, m.EvidenceDigest)
 	if ok && batch.Revision > m.Revision && p.mirror.HasSynced() {
 		reply.Batch = &batch
 	}
--- a/internal/process/peers/peer.go
+++ b/internal/process/peers/peer.go
@@ -15,6 +15,8 @@
 	contacted bool
 	// linkMbps is the bandwidth of the peer's link, 0 if unknown.
 	linkMbps float64
+	// evidenceDigest is the digest of the peer's evidence in its last message.
+	evidenceDigest uint64
 	// stopTime is when the peer exits, zero if it is not stopping.
 	stopTime time.Time
 }
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -8,21 +8,25 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 )
 
 const (
 	// exchangePath is the path of the exchange on the peer address.
 	exchangePath = "/v1/peers/exchange"
 	// gossipInterval is the time between two exchanges with random peers.
-	// fastGossipInterval applies instead while the store counts as lost.
+	// fastGossipInterval applies instead while the store counts as lost, and for
+	// evidencePeriod after an engine has ended at a prompt.
 	gossipInterval     = time.Second
 	fastGossipInterval = 150 * time.Millisecond
+	evidencePeriod     = 2 * time.Second
 	// longPollWait is how long a reader holds an exchange without a change.
 	longPollWait = 500 * time.Millisecond
 	// longPollRetryDelay is the pause after a reader failed to send its items.
@@ -54,6 +58,7 @@
 	// linkMbps is the bandwidth of this router's link, 0 if unknown.
 	linkMbps float64
 	mirror   *mirror.Mirror
+	prompts  *promptblock.List
 	fetcher  *upstreamclient.Fetcher
 	log      *eventlog.Log
 	clock    func() time.Time
@@ -85,16 +90,18 @@
 	LinkMbps float64
 	Seeds    []string
 	Mirror   *mirror.Mirror
-	Pool     *upstreamclient.Pool
-	Log      *eventlog.Log
-	Scope    tally.Scope
-	Clock    func() time.Time
+	// Prompts holds the evidence on prompts that all routers share.
+	Prompts *promptblock.List
+	Pool    *upstreamclient.Pool
+	Log     *eventlog.Log
+	Scope   tally.Scope
+	Clock   func() time.Time
 }
 
 // New returns a Peers that knows only the seeds.
 func New(o Options) *Peers {
 	return &Peers{
-		self: o.Address, linkMbps: o.LinkMbps, seeds: o.Seeds, mirror: o.Mirror,
+		self: o.Address, linkMbps: o.LinkMbps, seeds: o.Seeds, mirror: o.Mirror, prompts: o.Prompts,
 		fetcher: upstreamclient.NewFetcher(o.Pool, exchangeLimits), log: o.Log, clock: o.Clock,
 		metrics: newMetrics(o.Scope), failures: newFailures(o.Log), known: make(map[string]peer),
 	}
@@ -138,7 +145,7 @@
 }
 
 func (p *Peers) interval() time.Duration {
-	if p.storeLost() {
+	if p.storeLost() || p.prompts.HasRecentCrash(evidencePeriod, p.clock()) {
 		return fastGossipInterval
 	}
 	return gossipInterval
@@ -198,5 +205,17 @@
 	return candidates[rand.IntN(len(candidates))]
 }
 
+// IsResponsible reports whether this router acts for all on the matter with the
+// name. Routers that know the same peers agree on one.
+func (p *Peers) IsResponsible(name string) bool {
+	own := xxhash.Sum64String(p.self + " " + name)
+	for _, address := range p.alive() {
+		if xxhash.Sum64String(address+" "+name) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // Path returns the URL path at which ServeHTTP must be served.
 func Path() string { return exchangePath }
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 )
 
 // node is the mirror, the peers and the server of one router.
@@ -43,7 +44,7 @@
 		seeds := []string{sockets[0].Addr().String(), "127.0.0.1:1"}
 		p := New(Options{
 			Address: sockets[i].Addr().String(), Seeds: seeds, Mirror: m, Pool: pool,
-			Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 		})
 		server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 		nodes[i] = &node{peers: p, mirror: m, server: server}
@@ -134,7 +135,7 @@
 func TestRouterQueriesStoreOnceReadersLoseContact(t *testing.T) {
 	p := New(Options{
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
@@ -149,7 +150,7 @@
 	now := time.Now()
 	p := New(Options{
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 	})
 	p.ownStopTime = now.Add(7 * time.Second)
 	p.recordContact("a:1")
@@ -168,7 +169,7 @@
 func TestStoreContactCountsOnlyWithPeersItems(t *testing.T) {
 	p := New(Options{
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
 	p.recordStoreContact(message{Revision: 5, ContactAgeMillis: 0})
 	require.True(t, p.storeLost())
@@ -195,7 +196,7 @@
 	for i := range routers {
 		routers[i] = New(Options{
 			Address: fmt.Sprintf("router-%d:1", i), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 		})
 		routers[i].recordContact("gone:1")
 		routers[i].addNamed([]string{"router-0:1"}, nil)
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/peers"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/reporterclient"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
@@ -82,6 +83,7 @@
 	mirror    *mirror.Mirror
 	follower  *mirror.Follower
 	peers     *peers.Peers
+	prompts   *promptblock.List
 	directory *directory.Directory
 	view      *fleetview.View
 	relocator *relocation.Relocator
@@ -103,8 +105,9 @@
 	r.directory = directory.New(log, r.coldRate)
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
 	r.mirror = mirror.New(r.view.Apply)
+	r.prompts = promptblock.New(r.logPrompts)
 	r.peers = peers.New(peers.Options{
-		Address: s.PeerAddress, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Mirror: r.mirror, Pool: r.pool,
+		Address: s.PeerAddress, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Mirror: r.mirror, Prompts: r.prompts, Pool: r.pool,
 		Log: log, Scope: t.Scope(), Clock: r.clock,
 	})
 	r.follower = mirror.NewFollower(r.mirror, p.Store(upstreamclient.NewFetcher(r.pool, storeLimits)), log, r.clock, storeChangeDelay, r.peers.MustQueryStore)
@@ -118,6 +121,16 @@
 	return r, nil
 }
 
+// logPrompts logs which parts of prompts are blocked or no longer blocked.
+func (r *Router) logPrompts(c promptblock.Change) {
+	for _, part := range c.Blocked {
+		r.log.Emit(eventlog.PromptPartBlocked).Str("part", part).Int("crashes_known", c.Crashes).Send()
+	}
+	for _, part := range c.Cleared {
+		r.log.Emit(eventlog.PromptPartCleared).Str("part", part).Int("crashes_known", c.Crashes).Send()
+	}
+}
+
 func retryBound(s hostsettings.Settings) retrywindow.Bound {
 	return retrywindow.Bound{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
 }
@@ -232,7 +245,7 @@
 func (r *Router) forwarder(processCtx context.Context) http.Handler {
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
-		Directory: r.directory, Pool: r.pool, Budget: r.budget, Relocator: r.relocator, Log: r.log,
+		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
 		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopsAt, TimeUntilAvailable: r.peers.TimeUntilAvailable, ProcessContext: processCtx,
 	})
 }
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -47,7 +47,7 @@
 	if c.sends+c.misaddressed == 0 {
 		return true
 	}
-	return c.sends < c.route.MaxAttempts && c.Budget.TryRetry(c.service.Name, c.Clock())
+	return c.sends < c.route.MaxAttempts && c.mayRepeatPrompt() && c.Budget.TryRetry(c.service.Name, c.Clock())
 }
 
 // countOutcome counts the attempt by its outcome.
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
@@ -44,10 +45,14 @@
 	Directory *directory.Directory
 	Pool      *upstreamclient.Pool
 	Budget    *retrywindow.Budget
-	Relocator Relocator
-	Log       *eventlog.Log
-	Clock     func() time.Time
-	Metrics   *Metrics
+	// Prompts holds the evidence on prompts that end engines. IsResponsible reports
+	// whether this router acts for all routers on a matter.
+	Prompts       *promptblock.List
+	IsResponsible func(name string) bool
+	Relocator     Relocator
+	Log           *eventlog.Log
+	Clock         func() time.Time
+	Metrics       *Metrics
 	// Stopping reports whether the process is stopping and, if so, when it exits.
 	Stopping func() (end time.Time, stopping bool)
 	// TimeUntilAvailable returns the time until a router accepts long requests
@@ -148,7 +153,10 @@
 	c.sizes = c.Names.Tokens(c.r.Header)
 	c.parts = c.Names.SharedParts(c.r.Header)
 	c.setDeadlines()
-	return c.refuseUnfinishable()
+	if refused := c.refuseUnfinishable(); refused != nil {
+		return refused
+	}
+	return c.refuseBlocked()
 }
 
 const (
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
@@ -111,8 +112,9 @@
 	}
 	h.forwarder = New(Options{
 		Names: testNames, DataCentre: "dc-1", Table: func() *routetable.Table { return h.table }, Directory: h.directory,
-		Pool:      upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now),
-		Budget:    retrywindow.New(retrywindow.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
+		Pool:    upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now),
+		Budget:  retrywindow.New(retrywindow.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
+		Prompts: promptblock.New(func(promptblock.Change) {}), IsResponsible: func(string) bool { return true },
 		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
 		Metrics: NewMetrics(tally.NoopScope), ProcessContext: t.Context(),
 		TimeUntilAvailable: func(time.Time) time.Duration { return 0 },
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -111,6 +111,7 @@
 	if h, ok := s.run.TakeHandoff(ctx); ok {
 		return s.follow(ctx, v, h)
 	}
+	s.recordCrash(v, err)
 	return s.failAttempt(v, err)
 }
 
@@ -168,6 +169,9 @@
 	if h, ok := s.run.TakeHandoff(ctx); ok {
 		return s.follow(ctx, v, h)
 	}
+	if s.events < provenEvents {
+		s.recordCrash(v, err)
+	}
 	s.Directory.RecordOutcome(v.ID, true, s.Clock())
 	s.Log.Emit(eventlog.AttemptFailed).Str("request_id", s.id).Str("upstream", v.ID).Str("outcome", "cut").
 		Int64("incarnation", v.Incarnation).Strs("parts", s.parts).Int("events", s.events).Err(err).Send()
@@ -293,6 +297,9 @@
 	}
 	s.lastAt = now
 	s.events++
+	if s.events == provenEvents {
+		s.Prompts.RecordSuccess(s.parts, now)
+	}
 	s.run.Event()
 	if id != "" {
 		s.lastID = id
@@ -318,6 +325,9 @@
 // recordComplete logs and counts a stream that was passed on completely.
 func (s *stream) recordComplete(v directory.View) {
 	s.Directory.RecordOutcome(v.ID, false, s.Clock())
+	if s.events < provenEvents {
+		s.Prompts.RecordSuccess(s.parts, s.Clock())
+	}
 	elapsed := s.Clock().Sub(s.received)
 	s.Metrics.answered(s.route.Kind, s.head.Status, elapsed)
 	s.Log.Emit(eventlog.CallAnswered).Str("request_id", s.id).Str("route", s.route.Name).Str("upstream", v.ID).
