Count crashes of a part never seen to be sound more finely

Cause: at four harmful requests a second, crashes within 0.3 s of each other count as one, so that the third came after about 1 s and 9 to 12 engines of 14 ended. The span guards sound parts against failures that end many engines at once; those succeed all the time. Change: 0.1 s for parts that no request survived so far.

--- a/internal/process/promptblock/list.go
+++ b/internal/process/promptblock/list.go
@@ -13,8 +13,10 @@
 	blockCrashes  = 3
 	repeatCrashes = 2
 	// simultaneous is the time within which crashes count as one, because one
-	// failure may end several engines at once.
-	simultaneous = 300 * time.Millisecond
+	// failure may end several engines at once. simultaneousUnproven applies to a part
+	// that no request survived so far.
+	simultaneous         = 300 * time.Millisecond
+	simultaneousUnproven = 100 * time.Millisecond
 	// firstTrial is the time after the last crash until a blocked part is tried
 	// again. It doubles with each further crash up to maxTrial.
 	firstTrial = 15 * time.Second
@@ -123,7 +125,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range parts {
-		if separate(l.crashes(p, now, anyRecord)) >= repeatCrashes {
+		if separate(l.crashes(p, now, anyRecord), simultaneousUnproven) >= repeatCrashes {
 			return false
 		}
 	}
@@ -173,18 +175,16 @@
 func (l *List) blockedParts(now time.Time) []string {
 	var unproven, proven []string
 	for _, p := range l.implicatedParts() {
-		switch {
-		case separate(l.crashes(p, now, anyRecord)) < blockCrashes:
-		case l.proven(p):
+		if l.proven(p) {
 			proven = append(proven, p)
-		default:
+		} else if separate(l.crashes(p, now, anyRecord), simultaneousUnproven) >= blockCrashes {
 			unproven = append(unproven, p)
 		}
 	}
 	blocked := unproven
 	for _, p := range proven {
 		unexplained := func(r *record) bool { return !slices.ContainsFunc(unproven, r.implicates) }
-		if separate(l.crashes(p, now, unexplained)) >= blockCrashes {
+		if separate(l.crashes(p, now, unexplained), simultaneous) >= blockCrashes {
 			blocked = append(blocked, p)
 		}
 	}
@@ -220,12 +220,13 @@
 	return times
 }
 
-// separate returns how many of the times, the oldest first, are apart.
-func separate(times []time.Time) int {
+// separate returns how many of the times, the oldest first, are further apart than
+// the span.
+func separate(times []time.Time, span time.Duration) int {
 	count := 0
 	var last time.Time
 	for _, t := range times {
-		if count == 0 || t.Sub(last) > simultaneous {
+		if count == 0 || t.Sub(last) > span {
 			count++
 			last = t
 		}
