Withdraw prompts from engines once their part is blocked

Cause: when a part is blocked, requests with it are at engines that still read their prompts, 0.3 to 0.6 s each; each would end its engine and all other generations there. Change: a request is watched until its second event; if its blocked parts suffice for a known crash, its connection is closed and the caller gets 502 (the engine may have begun), or 503 if it had not been sent. Begun answers are left alone.

--- a/internal/process/promptblock/list.go
+++ b/internal/process/promptblock/list.go
@@ -43,6 +43,8 @@
 	blocked []string
 	// successes holds the parts with which a request of this router got an event.
 	successes *successes
+	// watchers are the requests that have not survived the beginning of their answer.
+	watchers map[*watcher]struct{}
 	// lastTrial is when this router sent a request with the blocked parts, by the
 	// parts.
 	lastTrial map[string]time.Time
@@ -51,7 +53,7 @@
 // New returns a list without evidence. The function onChange is called whenever
 // the blocked parts change, with the list's lock held.
 func New(onChange func(Change)) *List {
-	return &List{onChange: onChange, successes: newSuccesses(), lastTrial: make(map[string]time.Time)}
+	return &List{onChange: onChange, successes: newSuccesses(), watchers: make(map[*watcher]struct{}), lastTrial: make(map[string]time.Time)}
 }
 
 // RecordCrash records that an engine ended while a request had no event.
@@ -87,6 +89,9 @@
 	if len(c.Blocked)+len(c.Cleared) > 0 {
 		l.onChange(c)
 	}
+	if len(c.Blocked) > 0 {
+		l.cancelWatched()
+	}
 }
 
 // Decision states whether a request may be sent.
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -60,6 +60,8 @@
 	switch {
 	case failure != nil:
 		c.deliver(failure)
+	case errors.Is(context.Cause(ctx), errPromptBlocked):
+		c.refuse(c.promptBlocked())
 	case c.mayHaveRun && ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
 	case c.mayHaveRun:
@@ -116,5 +118,8 @@
 	if errors.Is(err, errTimeout) {
 		return refusal{status: http.StatusGatewayTimeout, reason: "timeout", upstream: v.ID, err: err}
 	}
+	if errors.Is(err, errPromptBlocked) {
+		return c.promptBlocked()
+	}
 	return refusal{status: http.StatusBadGateway, reason: "outcome_unknown", upstream: v.ID, err: err}
 }
--- a/internal/request/forwarding/prompts.go
+++ b/internal/request/forwarding/prompts.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -17,6 +18,21 @@
 // beginning of its answer.
 const provenEvents = 2
 
+// errPromptBlocked is the cause of a context whose request has a part of a prompt
+// that became blocked while an engine read it.
+var errPromptBlocked = errors.New("prompt ends engines")
+
+// watchPrompt returns a context that ends with errPromptBlocked if the prompt
+// becomes blocked before stop is called.
+func (c *call) watchPrompt(ctx context.Context) (watched context.Context, stop func()) {
+	if c.service.Engine == nil || len(c.parts) == 0 {
+		return ctx, func() {}
+	}
+	watched, cancel := context.WithCancelCause(ctx)
+	unwatch := c.Prompts.Watch(c.parts, func() { cancel(errPromptBlocked) })
+	return watched, unwatch
+}
+
 // refuseBlocked refuses a request whose prompt has parts that end engines.
 func (c *call) refuseBlocked() *refusal {
 	if c.service.Engine == nil || len(c.parts) == 0 {
@@ -35,6 +51,16 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "prompt_blocked", retryAfter: d.RetryAfter}
 }
 
+// promptBlocked returns the refusal of a request whose prompt became blocked after
+// it was accepted.
+func (c *call) promptBlocked() refusal {
+	r := refusal{status: http.StatusServiceUnavailable, reason: "prompt_blocked", retryAfter: busyRetryAfter}
+	if c.mayHaveRun {
+		r = refusal{status: http.StatusBadGateway, reason: "prompt_blocked"}
+	}
+	return r
+}
+
 // mayRepeatPrompt reports whether the prompt may be sent to another engine after
 // an attempt.
 func (c *call) mayRepeatPrompt() bool {
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -30,6 +30,8 @@
 	// none.
 	lastID string
 	events int
+	// survived ends the watch on the parts of the prompt.
+	survived func()
 	// endWait notifies the directory that the current upstream has sent its first
 	// event, or that its request has ended.
 	endWait func()
@@ -56,6 +58,9 @@
 // serveStream serves a request whose answer is a stream of events.
 func (c *call) serveStream(ctx context.Context) {
 	s := &stream{call: c, lastID: c.r.Header.Get(c.Names.LastEventID)}
+	ctx, stop := c.watchPrompt(ctx)
+	defer stop()
+	s.survived = stop
 	for c.mayTry(ctx) {
 		v, done, ok := c.chooseUpstream(c.Clock())
 		if !ok {
@@ -145,7 +150,7 @@
 // failAttempt ends the request after a failed attempt, unless it is repeatable.
 // It returns true if the request has ended.
 func (s *stream) failAttempt(v directory.View, err error) bool {
-	if s.route.Repeatable() {
+	if s.route.Repeatable() && !errors.Is(err, errPromptBlocked) {
 		return false
 	}
 	if s.started {
@@ -298,6 +303,7 @@
 	s.lastAt = now
 	s.events++
 	if s.events == provenEvents {
+		s.survived()
 		s.Prompts.RecordSuccess(s.parts, now)
 	}
 	s.run.Event()
