Decide by its last event and its engine whether a stream is complete

A stream with a proper end of its chunks but inside an event was passed on as complete.

Cause: completeness was read from the framing alone. Change: a stream that ends inside an event is broken off, whatever frames it. One that only the end of its connection delimits, after an event, is complete if no move of the run explains the end and the engine still accepts connections 50 ms later; an engine that ended closes its port with its streams. Event stream_end_decided. A reset stays a broken stream.

--- a/internal/connection/upstreamclient/pool.go
+++ b/internal/connection/upstreamclient/pool.go
@@ -81,6 +81,18 @@
 	return c.exchange(ctx, r)
 }
 
+// Reach returns an error if the address accepts no connection and no idle
+// connection to it is open.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.connection(ctx, address, false)
+	if err != nil {
+		return &Failure{Step: "dial", Address: address, Err: err}
+	}
+	c.idleSince = p.clock()
+	p.putIdle(c)
+	return nil
+}
+
 func (p *Pool) connection(ctx context.Context, address string, fresh bool) (*connection, error) {
 	for {
 		c := p.takeIdle(address)
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -146,6 +146,10 @@
 		6038, "prompt_decided", zerolog.InfoLevel,
 		"A request with blocked parts of a prompt was refused, or sent as a trial.", "none",
 	}
+	StreamEndDecided = Event{
+		6039, "stream_end_decided", zerolog.InfoLevel,
+		"A stream that only the end of its connection delimits ended after an event; it is complete if its upstream still accepts connections.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -166,6 +170,6 @@
 		HandlerPanicked, ShutdownIncomplete, UpstreamReported, TurnNotGranted,
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
 		ItemsNotReceived, ItemsReceivedAgain,
-		PromptPartBlocked, PromptPartCleared, PromptDecided,
+		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
 	}
 }
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/request/eventstream"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
@@ -51,6 +53,9 @@
 	complete upstreamEnd = iota
 	// truncated: the stream ended early.
 	truncated
+	// closed: the connection ended after an event, and nothing else delimits the
+	// stream.
+	closed
 	// callerDisconnected: writing to the caller failed.
 	callerDisconnected
 )
@@ -174,6 +179,10 @@
 	if h, ok := s.run.TakeHandoff(ctx); ok {
 		return s.follow(ctx, v, h)
 	}
+	if end == closed && s.confirmClosed(ctx, v) {
+		s.recordComplete(v)
+		return true
+	}
 	if s.events < provenEvents {
 		s.recordCrash(v, err)
 	}
@@ -257,15 +266,15 @@
 	}
 }
 
-// endOfStream returns how the upstream's stream ended. If it is complete, the
-// bytes after its last event are passed on.
+// endOfStream returns how the upstream's stream ended. A stream that ends inside
+// an event is truncated, whatever delimits it.
 func (s *stream) endOfStream(answer *upstreamclient.Answer, rest eventstream.Event, err error) (upstreamEnd, error) {
-	if !answer.Complete() {
+	switch {
+	case !answer.Complete():
 		return truncated, err
-	}
-	if answer.CloseDelimited() {
-		// Only the end of the connection delimits the answer, so a truncated
-		// stream cannot be distinguished from a complete one.
+	case len(rest.Data) > 0 && isEventStream(answer.Header):
+		return truncated, errInsideEvent
+	case answer.CloseDelimited() && s.events == 0:
 		return truncated, err
 	}
 	s.start()
@@ -274,9 +283,33 @@
 			return callerDisconnected, err
 		}
 	}
+	if answer.CloseDelimited() {
+		return closed, err
+	}
 	return complete, nil
 }
 
+// errInsideEvent is the error of a stream that ended inside an event.
+var errInsideEvent = errors.New("stream ended inside an event")
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
+}
+
+// closeConfirmDelay is the time after the end of a connection in which the other
+// connections to an upstream that has ended are closed as well.
+const closeConfirmDelay = 50 * time.Millisecond
+
+// confirmClosed reports whether a stream that only the end of its connection
+// delimits is complete: the upstream that ended it still accepts connections.
+func (s *stream) confirmClosed(ctx context.Context, v directory.View) bool {
+	pause.For(ctx, closeConfirmDelay)
+	err := s.Pool.Reach(ctx, v.Address)
+	s.Log.Emit(eventlog.StreamEndDecided).Str("request_id", s.id).Str("upstream", v.ID).Int("events", s.events).
+		Bool("complete", err == nil).Err(err).Send()
+	return err == nil
+}
+
 // alreadySent reports whether the event was sent to the caller before.
 func (s *stream) alreadySent(id string) bool {
 	if id == "" || s.lastID == "" {
