Bound the head of an answer

Cause: http.ReadResponse reads a status line and fields of any length, so that an upstream that sends on fills the router's memory until the request's time ends; for orders that is 1 to 1.5 s, for drafts 39 s. Change: the reader of a connection gives a head 64 KiB, with its interim answers, and then an error; the connection is closed.

Measured: TestHeadWithoutEndIsRefused (status line, one field, many fields, no answer, interim heads) did not end within 20 s before; passes in 3 of 3 runs with -race. TestBodyWithoutEndIsRefused passed before as well, with the limit that the caller of Body gives.

--- a/internal/connection/upstreamclient/connection.go
+++ b/internal/connection/upstreamclient/connection.go
@@ -22,6 +22,8 @@
 	// maxUnrelatedAnswers bounds the interim answers and the answers to other
 	// requests that are discarded before the connection is closed.
 	maxUnrelatedAnswers = 4
+	// maxHeadBytes bounds the head of an answer, with interim answers.
+	maxHeadBytes = 64 << 10
 	// maxUnrelatedBytes bounds the body of an answer to another request.
 	maxUnrelatedBytes = 1 << 20
 )
@@ -33,7 +35,9 @@
 	pool    *Pool
 	address string
 	socket  net.Conn
-	reader  *bufio.Reader
+	// source bounds what reader reads of a head.
+	source *headLimit
+	reader *bufio.Reader
 	// idleTimeout is how long the peer keeps an idle connection open.
 	idleTimeout time.Duration
 	// idleSince is when the last exchange ended, zero for a new connection.
@@ -41,9 +45,10 @@
 }
 
 func newConnection(p *Pool, address string, socket net.Conn) *connection {
+	source := &headLimit{source: socket}
 	return &connection{
-		pool: p, address: address, socket: socket,
-		reader: bufio.NewReaderSize(socket, readBufferBytes), idleTimeout: defaultIdle,
+		pool: p, address: address, socket: socket, source: source,
+		reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdle,
 	}
 }
 
@@ -128,7 +133,9 @@
 // answers and answers to other requests.
 func (c *connection) receive(r *Request) (*http.Response, error) {
 	for range maxUnrelatedAnswers {
+		c.source.limit(maxHeadBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.source.release()
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/connection/upstreamclient/endless_test.go
@@ -0,0 +1,74 @@
+package upstreamclient_test
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
+)
+
+// endlessPeer returns the address of a peer that sends the start, and then the
+// repeated bytes until its caller closes the connection. The channel is closed then.
+func endlessPeer(t *testing.T, start, repeated string) (address string, closed <-chan struct{}) {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, err = c.Write([]byte(start))
+		for block := bytes.Repeat([]byte(repeated), 1000); err == nil; {
+			_, err = c.Write(block)
+		}
+	}()
+	return socket.Addr().String(), ended
+}
+
+// Guards against a head without end that fills the memory of the process.
+func TestHeadWithoutEndIsRefused(t *testing.T) {
+	for name, peer := range map[string][2]string{
+		"status line":   {"HTTP/1.1 200 ", "x"},
+		"one field":     {"HTTP/1.1 200 OK\r\nField: ", "x"},
+		"many fields":   {"HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+		"no answer":     {"", "\x00\xff"},
+		"interim heads": {"HTTP/1.1 100 Continue\r\n", "Field: value\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, closed := endlessPeer(t, peer[0], peer[1])
+			pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := pool.Send(t.Context(), address, &upstreamclient.Request{Method: http.MethodGet, Target: "/", Host: "peer", Header: http.Header{}})
+			runtime.ReadMemStats(&after)
+			require.Error(t, err)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(4<<20))
+			<-closed
+		})
+	}
+}
+
+// Guards against a body without end, with and without a length, that is read to the limit of the caller's time.
+func TestBodyWithoutEndIsRefused(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"} {
+		address, closed := endlessPeer(t, head, "x")
+		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
+		answer, err := pool.Send(t.Context(), address, &upstreamclient.Request{Method: http.MethodGet, Target: "/", Host: "peer", Header: http.Header{}})
+		require.NoError(t, err)
+		_, err = answer.Body(1 << 20)
+		require.ErrorContains(t, err, "exceeds")
+		answer.Close()
+		<-closed
+	}
+}
