Bound the bodies that are read completely, all together

Cause: each body that is read completely has a limit (8 MiB), all together have none; machines have 112 to 536 MB. Change: the bodies in progress of one pool have 16 MiB together; an answer that would exceed them fails like one that is too large.

--- a/internal/connection/upstreamclient/answer.go
+++ b/internal/connection/upstreamclient/answer.go
@@ -28,6 +28,8 @@
 	// sent receives the result of writing the request.
 	sent <-chan error
 	ctx  context.Context //nolint:containedctx // it is the context of this exchange only
+	// buffered is the part of the body that counts in the pool's buffered bytes.
+	buffered int64
 	// complete is true once the body was read to its proper end.
 	complete bool
 }
@@ -51,7 +53,7 @@
 
 // Body reads the complete body. A body of more than limit bytes is an error.
 func (a *Answer) Body(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+	body, err := io.ReadAll(io.LimitReader(&bufferedReader{a}, limit+1))
 	if err != nil {
 		return nil, err
 	}
@@ -65,9 +67,30 @@
 	return &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errors.Newf("body exceeds %d bytes", limit)}
 }
 
+// bufferedReader counts what it reads in the pool's buffered bytes until the
+// answer is closed.
+type bufferedReader struct{ answer *Answer }
+
+// Read implements io.Reader.
+func (r *bufferedReader) Read(buffer []byte) (int, error) {
+	a := r.answer
+	n, err := a.Read(buffer)
+	a.buffered += int64(n)
+	if a.connection.pool.buffered.Add(int64(n)) > maxBufferedBytes {
+		return n, &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errTooManyBuffered}
+	}
+	return n, err
+}
+
+// errTooManyBuffered is the error of an answer that exceeds what all answers
+// together may buffer.
+var errTooManyBuffered = errors.Newf("answers in progress exceed %d bytes", maxBufferedBytes)
+
 // Close ends the exchange. The connection is kept for reuse if the request was
 // sent completely, the body was read to its end and no bytes follow it.
 func (a *Answer) Close() {
+	a.connection.pool.buffered.Add(-a.buffered)
+	a.buffered = 0
 	stopped := a.stop()
 	if !stopped || !a.complete || a.mustClose || !a.requestSent() || a.connection.reader.Buffered() > 0 {
 		a.connection.close()
--- a/internal/connection/upstreamclient/endless_test.go
+++ b/internal/connection/upstreamclient/endless_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +74,40 @@
 		<-closed
 	}
 }
+
+// Guards against many bodies without end that together fill the memory of the process.
+func TestBodiesWithoutEndShareABound(t *testing.T) {
+	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
+	const answers, limit = 12, 8 << 20
+	var kept atomic.Int64
+	var readers sync.WaitGroup
+	barrier := make(chan struct{})
+	for range answers {
+		address, _ := endlessPeer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+		answer, err := pool.Send(t.Context(), address, &upstreamclient.Request{Method: http.MethodGet, Target: "/", Host: "peer", Header: http.Header{}})
+		require.NoError(t, err)
+		readers.Go(func() {
+			<-barrier
+			body, err := answer.Body(limit)
+			kept.Add(int64(len(body)))
+			if err == nil {
+				kept.Add(limit)
+			}
+			answer.Close()
+		})
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	close(barrier)
+	readers.Wait()
+	runtime.ReadMemStats(&after)
+	require.Zero(t, kept.Load())
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(answers*limit), "each body alone would take its limit")
+	address, _ := endlessPeer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "x")
+	answer, err := pool.Send(t.Context(), address, &upstreamclient.Request{Method: http.MethodGet, Target: "/", Host: "peer", Header: http.Header{}})
+	require.NoError(t, err)
+	body, err := answer.Body(limit)
+	require.NoError(t, err, "what the answers took is free again")
+	require.Equal(t, "xxxxx", string(body))
+	answer.Close()
+}
--- a/internal/connection/upstreamclient/pool.go
+++ b/internal/connection/upstreamclient/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,6 +27,9 @@
 	// freshIdle is the longest idle time of a connection for a request that
 	// is not repeatable.
 	freshIdle = 1500 * time.Millisecond
+	// maxBufferedBytes bounds the bodies that are being read completely, of all
+	// answers together.
+	maxBufferedBytes = 16 << 20
 	// maxIdle bounds the idle connections to one address.
 	maxIdle = 64
 )
@@ -44,6 +48,8 @@
 	options Options
 	dialer  *net.Dialer
 	clock   func() time.Time
+	// buffered is the size of the bodies that are being read completely.
+	buffered atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*connection
