Stop sending a request that three instances have lost

Cause: the same class as prompts that crash engines, in the product's own deployment: a gateway sent a generation that was lost before its first token, or a repeatable call without an answer, to up to eight instances, so that one request could end eight engines. Change: after three lost attempts the caller gets the incomplete answer; the decision is recorded and shown by explain. Refusals (not run) don't count, and orders ask their instance for the outcome as before.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -34,7 +34,7 @@
 		s.serveOrder(svc, a)
 		return
 	}
-	failure, ok := s.newRetrier(svc, 0).run(func(i instance.Instance) result { return s.attemptCall(i, a) })
+	failure, ok := s.newRetrier(svc, 0).withMaxLost(maxLost).run(func(i instance.Instance) result { return s.attemptCall(i, a) })
 	if !ok && !s.callerDisconnected() {
 		s.refuse(failure)
 	}
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -102,7 +102,7 @@
 		Header: http.Header{"Content-Type": {"application/json"}},
 		Body:   gr.body,
 	}
-	if failure, ok := s.newRetrier(svc, gr.prefix).run(g.attemptAt); !ok && !s.callerDisconnected() {
+	if failure, ok := s.newRetrier(svc, gr.prefix).withMaxLost(maxLost).run(g.attemptAt); !ok && !s.callerDisconnected() {
 		g.sink.fail(failure)
 	}
 }
--- a/internal/process/gateway/generation_test.go
+++ b/internal/process/gateway/generation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -176,6 +177,27 @@
 	}
 }
 
+// Guards against a prompt that ends the engines of all instances, one after the other.
+func TestGenerationLostAtThreeInstancesIsNotSentToAFourth(t *testing.T) {
+	lose := func(s *fakeStream, _ *attempt.Attempt) {
+		s.send(acceptedFrame("e1.a.1"))
+		s.send(failedFrame(problem.Incomplete("generation_failed", "engine died")))
+	}
+	sidecars := make([]*fakeSidecar, 6)
+	for i := range sidecars {
+		sidecars[i] = newFakeSidecar(t, "e"+strconv.Itoa(i), "pool")
+		sidecars[i].offers = []offerScript{lose}
+	}
+	o := newFixture(t, sidecars...).do(t, http.MethodPost, completionsPath, unstreamedBody)
+	require.Equal(t, http.StatusBadGateway, o.status, o.body)
+	sent := 0
+	for _, s := range sidecars {
+		attempts, _, _, _ := s.received()
+		sent += len(attempts)
+	}
+	require.Equal(t, 3, sent)
+}
+
 // Guards G4: callers that use the same request identifier each receive their own
 // answer, and a generation of another instance is rejected.
 func TestEqualRequestIDsKeepAnswersSeparate(t *testing.T) {
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,6 +19,9 @@
 const (
 	// maxAttempts is the maximum number of attempts for one request.
 	maxAttempts = 8
+	// maxLost is the number of instances that may lose a request, for a request that
+	// may run more than once. A request that ends its instances must not end all.
+	maxLost = 3
 	// retryDelay is the delay before instances that were already tried are tried
 	// again.
 	retryDelay = 500 * time.Millisecond
@@ -56,7 +60,11 @@
 	service  *service.Service
 	prefix   uint64
 	excluded []string
+	// maxLost bounds the lost attempts, 0 for no bound.
+	maxLost  int
 	attempts int
+	// lost counts the attempts that may have run and returned no answer.
+	lost int
 	// lastProblem is the problem of the last attempt. uncertainProblem is that of
 	// the last attempt that may have run the request, nil if there is none.
 	lastProblem      problem.Problem
@@ -71,6 +79,12 @@
 	}
 }
 
+// withMaxLost bounds the number of instances that may lose the request.
+func (rt *retrier) withMaxLost(n int) *retrier {
+	rt.maxLost = n
+	return rt
+}
+
 // run sends the request to instances until it is answered. Otherwise it returns
 // the problem for the caller and false.
 func (rt *retrier) run(try func(instance.Instance) result) (problem.Problem, bool) {
@@ -86,7 +100,7 @@
 		rt.recordProblem(r.problem)
 		rt.excluded = append(rt.excluded, chosen.Name)
 		rt.session.recordDecision("attempt", chosen.Name, choiceName(r), r.problem.Type+": "+r.problem.Detail)
-		if !r.retry || !rt.spendRetry() {
+		if !r.retry || rt.isLostTooOften() || !rt.spendRetry() {
 			return rt.finalProblem(), false
 		}
 	}
@@ -95,10 +109,21 @@
 func (rt *retrier) recordProblem(p problem.Problem) {
 	rt.lastProblem = p
 	if mayHaveRun(p) {
+		rt.lost++
 		rt.uncertainProblem = &p
 	}
 }
 
+// isLostTooOften reports whether the request must not be sent to another instance
+// because too many have lost it.
+func (rt *retrier) isLostTooOften() bool {
+	if rt.maxLost == 0 || rt.lost < rt.maxLost {
+		return false
+	}
+	rt.session.recordDecision("retry", "", "no retry", "lost at "+strconv.Itoa(rt.lost)+" instances")
+	return true
+}
+
 func mayHaveRun(p problem.Problem) bool {
 	return p.Outcome == problem.OutcomeUnknown || p.Outcome == problem.OutcomeIncomplete
 }
