Give a hand-over the time that its size takes

Cause: the class of the configuration that stays behind, in the product's own deployment: a call that hands a ledger of up to 6 MB over had 2 s whatever its size, so that below 24 Mbit/s each call failed, at each of up to 16 peers, and the successor refused orders for the quarantine. Change: 2 s without progress in addition to the time that the body takes at 500 kB/s; the answer of a take may last as long as bytes arrive, 20 s at most. The guard is package connection/stall, which Fetcher uses too. A failed try: counting reads of the body as progress; the kernel takes up to 4 MB at once, so that the call still ended 2 s later.

Measured: TestHandOverLastsAsLongAsBytesMove (3 MB at 1 MB/s) failed before ("context deadline exceeded"), passes; tests of the sidecar pass.

--- a/internal/connection/upstreamclient/fetcher.go
+++ b/internal/connection/upstreamclient/fetcher.go
@@ -5,12 +5,9 @@
 	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/flamingohold/flamingohold/internal/connection/stall"
 )
 
-// ErrStalled is the cause of a failure if the peer sent nothing for too long.
-var ErrStalled = errors.New("peer sent nothing for too long")
-
 // FetchLimits bound a fetch by its progress instead of its duration, since the
 // duration depends on the size of the answer and on the link.
 type FetchLimits struct {
@@ -46,16 +43,14 @@
 func (f *Fetcher) Fetch(ctx context.Context, address string, r *Request, hold time.Duration) (Reply, error) {
 	ctx, end := context.WithTimeout(ctx, hold+f.limits.Total)
 	defer end()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stall := time.AfterFunc(hold+f.limits.Head, func() { cancel(ErrStalled) })
-	defer stall.Stop()
+	ctx, guard := stall.New(ctx, hold+f.limits.Head)
+	defer guard.Stop()
 	answer, err := f.pool.Send(ctx, address, r)
 	if err != nil {
 		return Reply{}, err
 	}
 	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(&watchedReader{answer, stall, f.limits.Stall}, f.limits.MaxBytes+1))
+	body, err := io.ReadAll(io.LimitReader(guard.Reader(answer, f.limits.Stall), f.limits.MaxBytes+1))
 	if err != nil {
 		return Reply{}, err
 	}
@@ -64,18 +59,3 @@
 	}
 	return Reply{Status: answer.Status, Body: body}, nil
 }
-
-// watchedReader restarts the timer at each read that returns bytes.
-type watchedReader struct {
-	source io.Reader
-	timer  *time.Timer
-	limit  time.Duration
-}
-
-func (w *watchedReader) Read(buffer []byte) (int, error) {
-	n, err := w.source.Read(buffer)
-	if n > 0 {
-		w.timer.Reset(w.limit)
-	}
-	return n, err
-}
--- a/internal/process/sidecar/handover.go
+++ b/internal/process/sidecar/handover.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/stall"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
@@ -27,8 +28,13 @@
 	// handOverPeers is the largest number of peers that a stopping or starting
 	// sidecar calls, in an order that is the same for both.
 	handOverPeers = 16
-	// handOverTimeout is the timeout of one call.
-	handOverTimeout = 2 * time.Second
+	// handOverStall is the longest time of one call without progress, in addition to
+	// the time that its body takes at minHandOverRate. The kernel takes a large part
+	// of a body at once, so that its progress is not seen. handOverTimeout bounds the
+	// call.
+	handOverStall   = 2 * time.Second
+	minHandOverRate = 500e3 // bytes a second
+	handOverTimeout = 20 * time.Second
 	// takeInterval is the time between two rounds in which a starting sidecar calls
 	// its peers for the ledger. firstTakeInterval applies to the firstTakeRounds
 	// rounds after the start, while the sidecar receives the configuration and the
@@ -235,6 +241,9 @@
 func (s *Sidecar) callPeer(ctx context.Context, address, path string, body []byte) (status int, answer []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
+	sending := time.Duration(float64(len(body)) / minHandOverRate * float64(time.Second))
+	ctx, guard := stall.New(ctx, handOverStall+sending)
+	defer guard.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, errors.Wrapf(err, "create request to peer %s", address)
@@ -247,7 +256,7 @@
 		return 0, nil, errors.Wrapf(err, "call peer %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err = io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes))
+	answer, err = io.ReadAll(guard.Reader(io.LimitReader(response.Body, maxDocumentBytes), handOverStall))
 	return response.StatusCode, answer, errors.Wrapf(err, "call peer %s", address)
 }
 
--- /dev/null
+++ b/internal/process/sidecar/handover_test.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a ledger that is never handed over because a small link takes longer than a fixed limit.
+func TestHandOverLastsAsLongAsBytesMove(t *testing.T) {
+	const size, rate = 3 << 20, 1 << 20
+	received := make(chan int64, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		total := int64(0)
+		for {
+			n, err := io.CopyN(io.Discard, r.Body, rate/20)
+			total += n
+			if err != nil {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		received <- total
+		w.WriteHeader(http.StatusOK)
+	}))
+	t.Cleanup(server.Close)
+	h := newHarness(t, plainService(1, "a"), newFakeService(t, false).URL)
+	status, _, err := h.sidecar.callPeer(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/x", make([]byte, size))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.EqualValues(t, size, <-received)
+}
