--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -20,11 +20,13 @@
 	Address string `json:"address"`
 	// Revision is the revision of the sender's mirror.
 	Revision int64 `json:"revision"`
+	// Heartbeat increases with each message of the sender, 0 if it sends none.
+	Heartbeat uint64 `json:"heartbeat,omitempty"`
 	// Peers holds the addresses of the routers that the sender considers alive, and
-	// PeerAgesMillis for each the age of the last contact that the sender or a router
-	// from which it knows had with it.
-	Peers          []string `json:"peers"`
-	PeerAgesMillis []int64  `json:"peer_ages_ms,omitempty"`
+	// PeerLags for each how far the newest heartbeat that the sender knows is behind
+	// the sender's own; the difference takes fewer bytes.
+	Peers    []string `json:"peers"`
+	PeerLags []int64  `json:"peer_lags,omitempty"`
 	// LinkMbps is the bandwidth of the sender's link, 0 if unknown. Readers are the
 	// routers that, to the sender's knowledge, query the store on behalf of all.
 	LinkMbps float64  `json:"link_mbps,omitempty"`
@@ -120,8 +122,8 @@
 
 // recordSender records what the message of a peer says of itself and of others.
 func (p *Peers) recordSender(address string, m message) {
-	p.recordContact(address)
-	p.addNamed(m.Peers, m.PeerAgesMillis)
+	p.recordContact(address, m.Heartbeat)
+	p.addNamed(m)
 	p.setLinks(append([]reader{{address, m.LinkMbps}}, m.Readers...))
 	p.recordStop(m)
 	p.prompts.Merge(m.Evidence, p.clock())
@@ -148,7 +150,7 @@
 // message returns a message with this router's state.
 func (p *Peers) message(revision int64) message {
 	age := p.contactAge()
-	m := message{Address: p.self, Revision: revision, LinkMbps: p.linkMbps, Readers: p.readers(), ContactAgeMillis: age.Milliseconds()}
+	m := message{Address: p.self, Heartbeat: p.nextHeartbeat(), Revision: revision, LinkMbps: p.linkMbps, Readers: p.readers(), ContactAgeMillis: age.Milliseconds()}
 	if age < 0 {
 		m.ContactAgeMillis = -1
 	}
--- a/internal/process/peers/peer.go
+++ b/internal/process/peers/peer.go
@@ -6,13 +6,21 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 )
 
+// forgetTime is how long the heartbeat of a lost peer is remembered, so that
+// routers which still name the peer do not bring it back.
+const forgetTime = time.Minute
+
 // peer is what a router knows about another one.
 type peer struct {
-	// heard is the time of the last contact that this router or one that named the
-	// peer had with it.
+	// heard is the time of the last contact with the peer, or of the last message
+	// that named it with a newer heartbeat.
 	heard time.Time
+	// heartbeat is the newest heartbeat of the peer, 0 if it sends none.
+	heartbeat uint64
 	// contacted is true once this router had a contact of its own.
 	contacted bool
+	// lost is true if the peer is only remembered for its heartbeat.
+	lost bool
 	// linkMbps is the bandwidth of the peer's link, 0 if unknown.
 	linkMbps float64
 	// evidenceDigest is the digest of the peer's evidence in its last message.
@@ -37,8 +45,8 @@
 	return alive
 }
 
-// addNames names the peers that count as alive in the message, each with the age
-// of the last contact.
+// addNames names the peers that count as alive in the message, each with its
+// newest heartbeat.
 func (p *Peers) addNames(m *message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -46,27 +54,40 @@
 	for address, k := range p.known {
 		if k.alive(now) {
 			m.Peers = append(m.Peers, address)
-			m.PeerAgesMillis = append(m.PeerAgesMillis, now.Sub(k.heard).Milliseconds())
+			m.PeerLags = append(m.PeerLags, int64(m.Heartbeat-k.heartbeat))
 		}
 	}
 }
 
+// nextHeartbeat returns this router's heartbeat, which increases with each
+// message. It begins at the time of day, so that it also increases over restarts.
+func (p *Peers) nextHeartbeat() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heartbeat = max(p.heartbeat+1, uint64(p.clock().UnixMilli()))
+	return p.heartbeat
+}
+
 func (p *Peers) removeLost() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
 	for address, k := range p.known {
-		if k.alive(now) {
-			continue
+		switch {
+		case k.alive(now):
+		case !k.lost:
+			p.known[address] = peer{heard: k.heard, heartbeat: k.heartbeat, lost: true}
+			p.failures.forget(address)
+			p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(k.heard)).Send()
+		case now.Sub(k.heard) > forgetTime:
+			delete(p.known, address)
 		}
-		delete(p.known, address)
-		p.failures.forget(address)
-		p.log.Emit(eventlog.PeerLost).Str("peer", address).Dur("silent", now.Sub(k.heard)).Send()
 	}
 }
 
-// recordContact records that the peer is alive.
-func (p *Peers) recordContact(address string) {
+// recordContact records that the peer is alive. Its heartbeat replaces the one
+// known, which may be of an earlier process whose clock was ahead.
+func (p *Peers) recordContact(address string, heartbeat uint64) {
 	if address == "" || address == p.self {
 		return
 	}
@@ -74,7 +95,9 @@
 	k := p.known[address]
 	found := !k.contacted
 	k.heard = p.clock()
+	k.heartbeat = heartbeat
 	k.contacted = true
+	k.lost = false
 	p.known[address] = k
 	p.mu.Unlock()
 	if found {
@@ -82,27 +105,32 @@
 	}
 }
 
-// addNamed records the peers that another router has named, with the ages of
-// their last contacts. Peers of a router that sends no ages count as lost after
-// half of peerTimeout, unless there is a contact.
-func (p *Peers) addNamed(names []string, ages []int64) {
+// addNamed records the peers that another router has named, with their newest
+// heartbeats. Without a heartbeat, a peer that is not known counts as lost after
+// half of peerTimeout unless there is a contact.
+func (p *Peers) addNamed(m message) {
 	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, address := range names {
+	for i, address := range m.Peers {
 		if address == p.self || address == "" {
 			continue
 		}
+		heartbeat := uint64(0)
+		if len(m.PeerLags) == len(m.Peers) {
+			heartbeat = m.Heartbeat - uint64(m.PeerLags[i])
+		}
 		k, known := p.known[address]
-		heard := now.Add(-peerTimeout / 2)
-		if len(ages) == len(names) {
-			heard = now.Add(-time.Duration(max(0, ages[i])) * time.Millisecond)
-		} else if known {
+		switch {
+		case heartbeat > k.heartbeat:
+			k.heartbeat = heartbeat
+			k.heard = now
+		case !known:
+			k.heard = now.Add(-peerTimeout / 2)
+		default:
 			continue
 		}
-		if heard.After(k.heard) && now.Sub(heard) <= peerTimeout {
-			k.heard = heard
-			p.known[address] = k
-		}
+		k.lost = false
+		p.known[address] = k
 	}
 }
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -74,6 +74,8 @@
 	seeds []string
 	// known holds the peers that count as alive or have just been lost, by address.
 	known map[string]peer
+	// heartbeat is this router's last heartbeat.
+	heartbeat uint64
 	// ownStopTime is when this router exits, zero if it is not stopping.
 	ownStopTime time.Time
 	// storeContact is when the store last answered another router whose items this
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -154,8 +154,8 @@
 		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 	})
 	p.ownStopTime = now.Add(7 * time.Second)
-	p.recordContact("a:1")
-	p.recordContact("b:1")
+	p.recordContact("a:1", 0)
+	p.recordContact("b:1", 0)
 	require.Zero(t, p.TimeUntilAvailable(now))
 	p.recordStop(message{Address: "a:1", StopsInMillis: 3000})
 	require.Zero(t, p.TimeUntilAvailable(now), "b is not stopping")
@@ -202,8 +202,8 @@
 			Address: fmt.Sprintf("router-%d:1", i), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
 			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 		})
-		routers[i].recordContact("gone:1")
-		routers[i].addNamed([]string{"router-0:1"}, nil)
+		routers[i].recordContact("gone:1", 7)
+		routers[i].addNamed(message{Peers: []string{"router-0:1"}})
 		now = now.Add(peerTimeout / 370)
 	}
 	gossip(routers, &now, 20)
