Date a contact with the store no later than it was

Cause: a router took the age of the store's last answer to a peer as of the arrival of the response, and the newest of all; two slow routers that tell each other thus keep an old contact young and none asks the store. Change: the age counts from the begin of the exchange plus the time for which the peer held it.

Measured: TestStoreContactDoesNotGrowYounger (two routers 0.4 s apart, 8 s without the store) fails with the old date, passes with the new one; tests of peers pass.

--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -37,6 +37,8 @@
 	// ContactAgeMillis is the age of the store's last response to the sender, or to
 	// a router from which the sender has its items; negative for never.
 	ContactAgeMillis int64 `json:"contact_age_ms"`
+	// HeldMillis is how long the sender held the request before this response.
+	HeldMillis int64 `json:"held_ms,omitempty"`
 	// StopsInMillis is the time until the sender exits, 0 if it is not stopping.
 	StopsInMillis int64 `json:"stops_in_ms,omitempty"`
 	// UnstableMillis is the remaining time in which deletions count as unconfirmed,
@@ -99,7 +101,7 @@
 	if response.UnstableMillis > 0 {
 		p.mirror.MarkUnstable(p.clock().Add(time.Duration(response.UnstableMillis) * time.Millisecond))
 	}
-	p.recordStoreContact(response)
+	p.recordStoreContact(response, start)
 	revision, _ = p.mirror.Revision()
 	return revision >= response.Revision
 }
@@ -131,15 +133,17 @@
 }
 
 // recordStoreContact records when the store last answered the peer, if this
-// router has all items that the peer has.
-func (p *Peers) recordStoreContact(m message) {
+// router has all items that the peer has. The exchange began at the given time; the
+// contact is not dated later than it was, so that it does not grow younger while
+// routers tell it each other.
+func (p *Peers) recordStoreContact(m message, start time.Time) {
 	if m.ContactAgeMillis < 0 {
 		return
 	}
 	if revision, _ := p.mirror.Revision(); revision < m.Revision {
 		return
 	}
-	contact := p.clock().Add(-time.Duration(m.ContactAgeMillis) * time.Millisecond)
+	contact := start.Add(time.Duration(m.HeldMillis-m.ContactAgeMillis) * time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if contact.After(p.storeContact) {
@@ -194,9 +198,11 @@
 		return
 	}
 	p.recordSender(m.Address, m)
+	received := p.clock()
 	p.awaitChange(r.Context(), m)
 	batch, ok := p.batchFor(m)
 	reply := p.message(batch.Revision)
+	reply.HeldMillis = p.clock().Sub(received).Milliseconds()
 	p.addEvidence(&reply, m.EvidenceDigest)
 	if m.WaitMillis == 0 {
 		p.addNames(&reply)
