Date the instability of the store no later than it was

Cause: as for the contact with the store: the rest of the time in which deletions are unconfirmed was counted from the arrival of a response, so that slow routers that tell each other prolong it without end and keep upstreams that have gone. Change: it counts from the begin of the exchange plus the time for which the peer held it.

--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -98,10 +98,7 @@
 	p.metrics.elapsed.RecordDuration(elapsed)
 	p.failures.noteSuccess(address, response.Revision, elapsed)
 	p.recordSender(address, response)
-	if response.UnstableMillis > 0 {
-		p.mirror.MarkUnstable(p.clock().Add(time.Duration(response.UnstableMillis) * time.Millisecond))
-	}
-	p.recordStoreContact(response, start)
+	p.recordStore(response, start)
 	revision, _ = p.mirror.Revision()
 	return revision >= response.Revision
 }
@@ -132,18 +129,25 @@
 	p.setDigest(address, m.EvidenceDigest)
 }
 
-// recordStoreContact records when the store last answered the peer, if this
-// router has all items that the peer has. The exchange began at the given time; the
-// contact is not dated later than it was, so that it does not grow younger while
-// routers tell it each other.
-func (p *Peers) recordStoreContact(m message, start time.Time) {
-	if m.ContactAgeMillis < 0 {
-		return
+// recordStore records what the response says of the store. The exchange began at
+// the given time. No time is dated later than it was, so that it does not grow
+// younger while routers tell it each other.
+func (p *Peers) recordStore(m message, start time.Time) {
+	answered := start.Add(time.Duration(m.HeldMillis) * time.Millisecond)
+	if m.UnstableMillis > 0 {
+		p.mirror.MarkUnstable(answered.Add(time.Duration(m.UnstableMillis) * time.Millisecond))
+	}
+	if m.ContactAgeMillis >= 0 {
+		p.recordStoreContact(m.Revision, answered.Add(-time.Duration(m.ContactAgeMillis)*time.Millisecond))
 	}
-	if revision, _ := p.mirror.Revision(); revision < m.Revision {
+}
+
+// recordStoreContact records when the store last answered the peer with the
+// revision, if this router has all items of that revision.
+func (p *Peers) recordStoreContact(peerRevision int64, contact time.Time) {
+	if revision, _ := p.mirror.Revision(); revision < peerRevision {
 		return
 	}
-	contact := start.Add(time.Duration(m.HeldMillis-m.ContactAgeMillis) * time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if contact.After(p.storeContact) {
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -140,7 +140,7 @@
 	})
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
-	p.recordStoreContact(message{Revision: 1, ContactAgeMillis: 0}, time.Now())
+	p.recordStoreContact(1, time.Now())
 	require.False(t, p.storeLost())
 	p.clock = func() time.Time { return time.Now().Add(storeContactTimeout + time.Millisecond) }
 	require.True(t, p.storeLost())
@@ -172,7 +172,7 @@
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
 		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
-	p.recordStoreContact(message{Revision: 5, ContactAgeMillis: 0}, time.Now())
+	p.recordStoreContact(5, time.Now())
 	require.True(t, p.storeLost())
 }
 
@@ -218,8 +218,8 @@
 	}
 }
 
-// Guards against routers that hear each other late and tell each other an old contact with the store as a recent one.
-func TestStoreContactDoesNotGrowYounger(t *testing.T) {
+// Guards against routers that hear each other late and tell each other an old state of the store as a recent one.
+func TestTimesOfTheStoreDoNotGrowYounger(t *testing.T) {
 	const delay = 400 * time.Millisecond
 	now := time.Now()
 	routers := make([]*Peers, 2)
@@ -231,13 +231,16 @@
 		})
 	}
 	routers[0].mirror.RecordContact(now)
+	routers[0].mirror.MarkUnstable(now.Add(3 * time.Second))
 	for round := range 20 {
 		asking, asked := routers[round%2], routers[(round+1)%2]
 		start := now
 		reply := asked.message(0)
 		now = now.Add(delay)
-		asking.recordStoreContact(reply, start)
+		asking.recordStore(reply, start)
+	}
+	for _, r := range routers {
+		require.True(t, r.storeLost())
+		require.True(t, r.mirror.UnstableUntil().Before(now), "the store was unstable until long ago")
 	}
-	require.True(t, routers[0].storeLost())
-	require.True(t, routers[1].storeLost())
 }
