Ask a router at once whose message states newer items

What callers saw: TestChangeReachesAllRouters failed once.

Cause of the first kind: a reader that does not hear from the store itself, such as one that the store rejects, got items only by its own exchange at random, one a second, a fifth of them with a seed that may be gone; that others asked it with a newer revision told it nothing.

--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -202,6 +202,7 @@
 		return
 	}
 	p.recordSender(m.Address, m)
+	p.noteAhead(m)
 	received := p.clock()
 	p.awaitChange(r.Context(), m)
 	batch, ok := p.batchFor(m)
@@ -232,6 +233,18 @@
 	return p.mirror.EncodedSince(m.Revision, m.Held, m.Complete)
 }
 
+// noteAhead records that the sender of the message has newer items, unless
+// another such peer is to be asked already.
+func (p *Peers) noteAhead(m message) {
+	if revision, _ := p.mirror.Revision(); m.Revision <= revision {
+		return
+	}
+	select {
+	case p.ahead <- m.Address:
+	default:
+	}
+}
+
 // awaitChange waits until this router has a newer revision than the sender of
 // the message, but no longer than the message allows.
 func (p *Peers) awaitChange(ctx context.Context, m message) {
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -67,6 +67,8 @@
 	failures *failures
 	// completing is held by the exchange that may receive large values completely.
 	completing sync.Mutex
+	// ahead receives the address of a peer whose message states a newer revision.
+	ahead chan string
 	// undecoded is true if the last items could not be decoded.
 	undecoded atomic.Bool
 
@@ -105,7 +107,7 @@
 	return &Peers{
 		self: o.Address, linkMbps: o.LinkMbps, seeds: o.Seeds, mirror: o.Mirror, prompts: o.Prompts,
 		fetcher: upstreamclient.NewFetcher(o.Pool, exchangeLimits), log: o.Log, clock: o.Clock,
-		metrics: newMetrics(o.Scope), failures: newFailures(o.Log), known: make(map[string]peer),
+		metrics: newMetrics(o.Scope), failures: newFailures(o.Log), known: make(map[string]peer), ahead: make(chan string, 1),
 	}
 }
 
@@ -142,7 +144,25 @@
 			p.exchange(ctx, address, 0)
 		}
 		p.removeLost()
-		pause.For(ctx, p.interval())
+		p.awaitNext(ctx)
+	}
+}
+
+// awaitNext waits until the next exchange with a random peer is due. Meanwhile it
+// exchanges messages with peers that have newer items.
+func (p *Peers) awaitNext(ctx context.Context) {
+	next := time.NewTimer(p.interval())
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-next.C:
+			return
+		case address := <-p.ahead:
+			p.exchange(ctx, address, 0)
+			pause.For(ctx, fastGossipInterval)
+		}
 	}
 }
 
