Count a withdrawn prompt as no failure of its engine

Cause: a prompt that is withdrawn after the head of its answer and before its first event was counted as a failed attempt of the engine, which is then avoided. Change: it ends the request without that.

--- a/internal/request/forwarding/prompts_test.go
+++ b/internal/request/forwarding/prompts_test.go
@@ -68,6 +68,29 @@
 	<-withdrawn
 }
 
+// Guards against counting a withdrawn prompt as a failure of its engine.
+func TestWithdrawnPromptIsNoFailureOfItsEngine(t *testing.T) {
+	reading := make(chan struct{})
+	h := newEngineHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		seal(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.(http.Flusher).Flush()
+		close(reading)
+		<-r.Context().Done()
+	})
+	go func() {
+		<-reading
+		// The router has to have read the head by then.
+		time.Sleep(100 * time.Millisecond)
+		h.block("harmful")
+	}()
+	require.Equal(t, http.StatusBadGateway, h.do(h.prompt("draft", "harmful:20")).StatusCode)
+	view, known := h.directory.Upstream("u-1", time.Now())
+	require.True(t, known)
+	require.Zero(t, view.FailureRate)
+	require.False(t, view.Suspect)
+}
+
 // Guards against ending an answer that an engine has begun because a part of its prompt is blocked later.
 func TestBegunAnswerIsNotWithdrawn(t *testing.T) {
 	begun := make(chan struct{})
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -166,6 +166,9 @@
 		s.recordComplete(v)
 		return true
 	}
+	if errors.Is(err, errPromptBlocked) {
+		return s.failAttempt(v, err)
+	}
 	if s.events < provenEvents {
 		s.recordCrash(v, err)
 	}
