Keep the crashes of blocked parts before others

What callers saw: nothing yet; found by reading the change again. Cause: of more than 64 crashes the oldest were dropped, whichever part they blocked, so that the end of many engines for another reason (a data centre) forgot a blocked part, and three more engines ended. Change: the oldest crash that blocks no part is dropped first, unless half of the places are taken by crashes that block one.

Measured: TestBlockedPartOutlastsManyOtherCrashes failed before, passes; tests of promptblock pass with -race.

--- a/internal/process/promptblock/list.go
+++ b/internal/process/promptblock/list.go
@@ -26,7 +26,8 @@
 	trialInterval = time.Second
 	// recordLifetime is how long crashes are kept.
 	recordLifetime = time.Hour
-	// maxRecords bounds the crashes that are kept; the oldest are dropped.
+	// maxRecords bounds the crashes that are kept; the oldest that block no part are
+	// dropped.
 	maxRecords = 64
 	// maxParts bounds the parts of a crash.
 	maxParts = 32
@@ -156,15 +157,37 @@
 	added := &record{Crash: c, proven: l.successes.among(c.Parts)}
 	l.records = slices.Insert(l.records, at, added)
 	newest := l.records[len(l.records)-1].At
-	for len(l.records) > maxRecords || newest.Sub(l.records[0].At) > recordLifetime {
+	for newest.Sub(l.records[0].At) > recordLifetime {
 		l.records = slices.Delete(l.records, 0, 1)
 	}
+	if len(l.records) > maxRecords {
+		drop := l.leastNeeded()
+		l.records = slices.Delete(l.records, drop, drop+1)
+	}
 	if !slices.Contains(l.records, added) {
 		return nil
 	}
 	return added
 }
 
+// leastNeeded returns the index of the oldest record that blocks no part, or of
+// the oldest one if half of the records or more block a part.
+func (l *List) leastNeeded() int {
+	needed := 0
+	oldest := -1
+	for i, r := range l.records {
+		if slices.ContainsFunc(l.blocked, r.implicates) {
+			needed++
+		} else if oldest < 0 {
+			oldest = i
+		}
+	}
+	if oldest < 0 || needed >= maxRecords/2 {
+		return 0
+	}
+	return oldest
+}
+
 // implicated reports whether one of the parts may have caused a crash.
 func (l *List) implicated(parts []string) bool {
 	for _, r := range l.records {
--- a/internal/process/promptblock/list_test.go
+++ b/internal/process/promptblock/list_test.go
@@ -190,6 +190,25 @@
 	require.Len(t, shared, 64)
 }
 
+// Guards against forgetting a blocked part when many engines end for another reason.
+func TestBlockedPartOutlastsManyOtherCrashes(t *testing.T) {
+	l := newList()
+	for n := range 3 {
+		crash(l, n, float64(n), "harmful")
+	}
+	for n := range 500 {
+		crash(l, 100+n, 4+float64(n)/1000, "common", fmt.Sprint(n))
+	}
+	require.True(t, refused(l, 5, "harmful"))
+	for n := range 100 {
+		crash(l, 1000+n, 6+float64(n), "harmful")
+	}
+	for n := range 3 {
+		crash(l, 2000+n, 200+float64(n), "new")
+	}
+	require.True(t, refused(l, 203, "new"), "one part does not take all places")
+}
+
 func BenchmarkDecide(b *testing.B) {
 	l := newList()
 	for n := range 64 {
