Send the same evidence to a router once in two seconds

Two routers that keep different crashes, since there are more than 64, have different digests for good, and each exchange (2 to 12 a second with a reader) carried the whole evidence, 10 KB, again. Change: evidence goes to a peer again if a digest changed, or after 2 s, since a response may be lost. The time for which a request was held is read before the rest of the response, so that a pause between the two does not date the store later.

--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -82,7 +82,8 @@
 	if !p.undecoded.Load() {
 		request.Held = p.mirror.Held()
 	}
-	p.addEvidence(&request, p.digestOf(address))
+	digest := p.peer(address).evidenceDigest
+	p.addEvidence(&request, address, digest)
 	start := p.clock()
 	response, err := p.call(ctx, address, request, wait)
 	if err == nil {
@@ -97,6 +98,7 @@
 	p.metrics.succeeded.Inc(1)
 	p.metrics.elapsed.RecordDuration(elapsed)
 	p.failures.noteSuccess(address, response.Revision, elapsed)
+	p.recordEvidenceSent(request, address, digest)
 	p.recordSender(address, response)
 	p.recordStore(response, start)
 	revision, _ = p.mirror.Revision()
@@ -206,9 +208,11 @@
 	received := p.clock()
 	p.awaitChange(r.Context(), m)
 	batch, ok := p.batchFor(m)
+	held := p.clock().Sub(received)
 	reply := p.message(batch.Revision)
-	reply.HeldMillis = p.clock().Sub(received).Milliseconds()
-	p.addEvidence(&reply, m.EvidenceDigest)
+	reply.HeldMillis = held.Milliseconds()
+	p.addEvidence(&reply, m.Address, m.EvidenceDigest)
+	p.recordEvidenceSent(reply, m.Address, m.EvidenceDigest)
 	if m.WaitMillis == 0 {
 		p.addNames(&reply)
 	}
--- a/internal/process/peers/peer.go
+++ b/internal/process/peers/peer.go
@@ -23,8 +23,11 @@
 	lost bool
 	// linkMbps is the bandwidth of the peer's link, 0 if unknown.
 	linkMbps float64
-	// evidenceDigest is the digest of the peer's evidence in its last message.
+	// evidenceDigest is the digest of the peer's evidence in its last message, and
+	// evidenceSent the digests when this router's evidence was last sent to it.
 	evidenceDigest uint64
+	evidenceSent   digests
+	evidenceSentAt time.Time
 	// stopTime is when the peer exits, zero if it is not stopping.
 	stopTime time.Time
 }
@@ -45,6 +48,25 @@
 	return alive
 }
 
+// peer returns what is known of the peer with the address, zero for nothing.
+func (p *Peers) peer(address string) peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[address]
+}
+
+// changePeer changes what is known of the peer with the address, if anything is.
+func (p *Peers) changePeer(address string, change func(*peer)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k, known := p.known[address]
+	if !known {
+		return
+	}
+	change(&k)
+	p.known[address] = k
+}
+
 // addNames names the peers that count as alive in the message, each with its
 // newest heartbeat.
 func (p *Peers) addNames(m *message) {
