Log the rate limits that upstreams state

Nothing between an answer and the next choice of an upstream read the field in which an upstream states how many requests a second it accepts from all routers together, and no line showed it, so that the hypotheses on the stated limit could not be told apart. The adapter names the field, package statedlimit keeps what each upstream stated last, and upstream_limit_changed is logged when that changes. No choice depends on it yet.

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -150,6 +150,15 @@
 		6039, "stream_end_decided", zerolog.InfoLevel,
 		"A stream that only the end of its connection delimits ended after an event; it is complete if its upstream still accepts connections.", "none",
 	}
+	UpstreamLimitChanged = Event{
+		6040, "upstream_limit_changed", zerolog.InfoLevel,
+		"An upstream states another limit on the requests a second that all routers together may send to it, or none any more.",
+		"Add capacity to the service if its upstreams state limits often.",
+	}
+	UpstreamLimitInvalid = Event{
+		6041, "upstream_limit_invalid", zerolog.WarnLevel,
+		"An upstream states a limit that is not a number; the limit known before stays in force.", "Report it to the upstream's vendor.",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -171,5 +180,6 @@
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
 		ItemsNotReceived, ItemsReceivedAgain,
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
+		UpstreamLimitChanged, UpstreamLimitInvalid,
 	}
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/reporterclient"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/request/forwarding"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
@@ -84,6 +85,7 @@
 	follower  *mirror.Follower
 	peers     *peers.Peers
 	prompts   *promptblock.List
+	stated    *statedlimit.Limits
 	directory *directory.Directory
 	view      *fleetview.View
 	relocator *relocation.Relocator
@@ -106,6 +108,7 @@
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
 	r.mirror = mirror.New(r.view.Apply)
 	r.prompts = promptblock.New(r.logPrompts)
+	r.stated = statedlimit.New(r.logLimit)
 	r.peers = peers.New(peers.Options{
 		Address: s.PeerAddress, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Mirror: r.mirror, Prompts: r.prompts, Pool: r.pool,
 		Log: log, Scope: t.Scope(), Clock: r.clock,
@@ -131,6 +134,12 @@
 	}
 }
 
+// logLimit logs a changed limit of an upstream.
+func (r *Router) logLimit(c statedlimit.Change) {
+	r.log.Emit(eventlog.UpstreamLimitChanged).Str("upstream", c.Upstream.ID).Int64("incarnation", c.Upstream.Incarnation).
+		Bool("limited", c.Limited).Float64("per_second", c.PerSecond).Uint64("version", c.Version).Send()
+}
+
 func retryBound(s hostsettings.Settings) retrywindow.Bound {
 	return retrywindow.Bound{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
 }
@@ -245,7 +254,7 @@
 func (r *Router) forwarder(processCtx context.Context) http.Handler {
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
-		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
+		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, Limits: r.stated, IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
 		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopsAt, TimeUntilAvailable: r.peers.TimeUntilAvailable, ProcessContext: processCtx,
 	})
 }
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -103,9 +103,11 @@
 // send sends the request to the upstream and records the outcome in the
 // directory. The answer is nil unless the outcome is answered.
 func (c *call) send(ctx context.Context, v directory.View, request *upstreamclient.Request) (*upstreamclient.Answer, outcome, error) {
+	sentAt := c.Clock()
 	answer, err := c.Pool.Send(ctx, v.Address, request)
 	result := c.classify(answer, err)
 	now := c.Clock()
+	c.observeLimit(v, result, answer, sentAt, now)
 	switch result {
 	case unsent:
 		c.Directory.MarkUnreachable(v.ID, now)
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
 	"github.com/flamingohold/flamingohold/internal/version/route"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
@@ -47,7 +48,9 @@
 	Budget    *retrywindow.Budget
 	// Prompts holds the evidence on prompts that end engines. IsResponsible reports
 	// whether this router acts for all routers on a matter.
-	Prompts       *promptblock.List
+	Prompts *promptblock.List
+	// Limits holds the rate limits that upstreams state.
+	Limits        *statedlimit.Limits
 	IsResponsible func(name string) bool
 	Relocator     Relocator
 	Log           *eventlog.Log
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
 	"github.com/flamingohold/flamingohold/internal/version/route"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
@@ -38,7 +39,7 @@
 var testNames = headers.Names{
 	RequestID: "Request-Id", Deadline: "Time-Left-Ms", Account: "Account", ExpectUpstream: "Expect-Upstream",
 	NotRun: "Not-Run", Seal: "Seal", TokenCounts: "Tokens", LengthHint: "Length-Hint", PromptPrefix: "Prompt-Parts",
-	LastEventID: "Last-Event-Id", KVSource: "Copied-From", KVBackup: "Backup", Reserved: []string{"Reserved"},
+	LastEventID: "Last-Event-Id", KVSource: "Copied-From", KVBackup: "Backup", RateLimit: "Rate-Limit", Reserved: []string{"Reserved"},
 }
 
 // harness is a router with upstreams whose behaviour the test defines.
@@ -114,6 +115,7 @@
 		Names: testNames, DataCentre: "dc-1", Table: func() *routetable.Table { return h.table }, Directory: h.directory,
 		Pool:    upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now),
 		Budget:  retrywindow.New(retrywindow.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
+		Limits:  statedlimit.New(func(statedlimit.Change) {}),
 		Prompts: promptblock.New(func(promptblock.Change) {}), IsResponsible: func(string) bool { return true },
 		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
 		Metrics: NewMetrics(tally.NoopScope), ProcessContext: t.Context(),
--- a/internal/request/headers/headers.go
+++ b/internal/request/headers/headers.go
@@ -1,10 +1,13 @@
 package headers
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Names holds the names of the header fields on the wire.
@@ -38,6 +41,9 @@
 	KVSource string
 	// KVBackup names the upstream that keeps a copy of a generation's memory.
 	KVBackup string
+	// RateLimit holds the number of requests a second that an upstream accepts from
+	// all routers together, as a decimal number.
+	RateLimit string
 	// Reserved are the names of further fields that a caller must not set.
 	Reserved []string
 }
@@ -117,6 +123,21 @@
 	h.Set(n.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 }
 
+// StatedLimit returns the number of requests a second that the upstream states to
+// accept, and false if the answer states none. The value must be a non-negative
+// decimal number.
+func (n *Names) StatedLimit(h http.Header) (perSecond float64, stated bool, err error) {
+	text := strings.TrimSpace(h.Get(n.RateLimit))
+	if n.RateLimit == "" || text == "" {
+		return 0, false, nil
+	}
+	perSecond, err = strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+		return 0, false, errors.Newf("%s is %q, not a non-negative number", n.RateLimit, text)
+	}
+	return perSecond, true, nil
+}
+
 // Sizes are the sizes of a generation in tokens as its request states them, 0 for
 // unknown.
 type Sizes struct {
