Keep all routers together within the limits that upstreams state

Cause: no part of a router read the limit, and no part of the system bounded what all routers together send to one upstream; each chose by load and failures alone.

Two routers, chosen by the upstream among those alive, each issue permits for half of the limit (ratepermit); the others ask one of them before a request, and go to another upstream when refused. A request that has no other upstream waits for a permit of the next 0.3 s, or is refused at once with the time until one may come. Limits and their end travel with the exchanges between routers (statedlimit). Moves of generations ask as well.

Weighed: a fixed part of the limit for each router.

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -159,6 +159,18 @@
 		6041, "upstream_limit_invalid", zerolog.WarnLevel,
 		"An upstream states a limit that is not a number; the limit known before stays in force.", "Report it to the upstream's vendor.",
 	}
+	PermitsLost = Event{
+		6042, "permits_lost", zerolog.WarnLevel,
+		"Another router, which issues permits for upstreams that state a limit, does not answer; its part of their limits is not used meanwhile.", "none",
+	}
+	PermitsRegained = Event{
+		6043, "permits_regained", zerolog.InfoLevel, "The router that issues permits answers again.", "none",
+	}
+	PermitRefused = Event{
+		6044, "permit_refused", zerolog.InfoLevel,
+		"A request was not sent to an upstream, because the limit that it states is used up; it may be sent to another one.",
+		"Add capacity to the service if its upstreams state limits often.",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -180,6 +192,6 @@
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
 		ItemsNotReceived, ItemsReceivedAgain,
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
-		UpstreamLimitChanged, UpstreamLimitInvalid,
+		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused,
 	}
 }
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 )
 
 // message is the request and the response of an exchange between two routers.
@@ -54,6 +55,10 @@
 	// receiver is known to have, and EvidenceDigest its digest.
 	Evidence       []promptblock.SharedCrash `json:"evidence,omitempty"`
 	EvidenceDigest uint64                    `json:"evidence_digest,omitempty"`
+	// Limits holds the limits of upstreams that the sender knows, if they differ from
+	// what the receiver is known to have, and LimitsDigest their digest.
+	Limits       []statedlimit.Limit `json:"limits,omitempty"`
+	LimitsDigest uint64              `json:"limits_digest,omitempty"`
 	// Batch holds the items that the receiver lacks; it is set in responses only.
 	Batch *mirror.Batch `json:"batch,omitempty"`
 }
@@ -82,8 +87,8 @@
 	if !p.undecoded.Load() {
 		request.Held = p.mirror.Held()
 	}
-	digest := p.peer(address).evidenceDigest
-	p.addEvidence(&request, address, digest)
+	had := p.peer(address).digests()
+	p.addNews(&request, address, had)
 	start := p.clock()
 	response, err := p.call(ctx, address, request, wait)
 	if err == nil {
@@ -98,7 +103,7 @@
 	p.metrics.succeeded.Inc(1)
 	p.metrics.elapsed.RecordDuration(elapsed)
 	p.failures.noteSuccess(address, response.Revision, elapsed)
-	p.recordEvidenceSent(request, address, digest)
+	p.recordNewsSent(request, address, had)
 	p.recordSender(address, response)
 	p.recordStore(response, start)
 	revision, _ = p.mirror.Revision()
@@ -128,7 +133,8 @@
 	p.setLinks(append([]reader{{address, m.LinkMbps}}, m.Readers...))
 	p.recordStop(m)
 	p.prompts.Merge(m.Evidence, p.clock())
-	p.setDigest(address, m.EvidenceDigest)
+	p.limits.Merge(m.Limits, p.clock())
+	p.setDigests(address, m.digests())
 }
 
 // recordStore records what the response says of the store. The exchange began at
@@ -211,8 +217,8 @@
 	held := p.clock().Sub(received)
 	reply := p.message(batch.Revision)
 	reply.HeldMillis = held.Milliseconds()
-	p.addEvidence(&reply, m.Address, m.EvidenceDigest)
-	p.recordEvidenceSent(reply, m.Address, m.EvidenceDigest)
+	p.addNews(&reply, m.Address, m.digests())
+	p.recordNewsSent(reply, m.Address, m.digests())
 	if m.WaitMillis == 0 {
 		p.addNames(&reply)
 	}
--- /dev/null
+++ b/internal/process/peers/news_test.go
@@ -0,0 +1,80 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+)
+
+func noLimits() *statedlimit.Limits {
+	return statedlimit.New(func(statedlimit.Upstream) bool { return true }, func(statedlimit.Limit) {})
+}
+
+// Guards against sending evidence in each message to a router that keeps other crashes of too many.
+func TestSameEvidenceIsNotSentInEachMessage(t *testing.T) {
+	now := time.Now()
+	p := New(Options{
+		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
+		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+	})
+	crash := func(n int) {
+		p.prompts.RecordCrash(promptblock.Crash{Upstream: fmt.Sprint(n), Parts: []string{"part"}, At: now})
+	}
+	send := func(peers uint64) message {
+		m := message{}
+		p.addNews(&m, "a:1", digests{evidence: peers})
+		p.recordNewsSent(m, "a:1", digests{evidence: peers})
+		return m
+	}
+	p.recordContact("a:1", 1)
+	crash(1)
+	require.NotEmpty(t, send(7).Evidence)
+	require.Empty(t, send(7).Evidence)
+	now = now.Add(newsResendInterval)
+	require.NotEmpty(t, send(7).Evidence, "a response may have been lost")
+	require.NotEmpty(t, send(0).Evidence, "the router has started again")
+	crash(2)
+	last := send(0)
+	require.NotEmpty(t, last.Evidence)
+	require.Empty(t, send(last.EvidenceDigest).Evidence)
+}
+
+// Guards against a router that learns an upstream's limit, or its end, only from its own requests.
+func TestLimitsReachTheOtherRouters(t *testing.T) {
+	now := time.Now()
+	newRouter := func(address string) *Peers {
+		return New(Options{
+			Address: address, Mirror: mirror.New(func([]mirror.Change, time.Time) {}), Prompts: promptblock.New(func(promptblock.Change) {}),
+			Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+		})
+	}
+	a, b := newRouter("a:1"), newRouter("b:1")
+	send := func(from, to *Peers) message {
+		m := from.message(0)
+		from.addNews(&m, to.self, from.peer(to.self).digests())
+		from.recordNewsSent(m, to.self, from.peer(to.self).digests())
+		to.recordSender(from.self, m)
+		return m
+	}
+	u := statedlimit.Upstream{ID: "u", Incarnation: 1}
+	require.Empty(t, send(a, b).Limits)
+	require.Empty(t, send(b, a).Limits)
+	a.limits.Observe(statedlimit.Statement{Upstream: u, Limited: true, PerSecond: 4.1, SentAt: now}, now)
+	require.True(t, a.hasNews(now))
+	send(a, b)
+	require.InDelta(t, 4.1, b.limits.Limit(u).PerSecond, 0)
+	require.Empty(t, send(b, a).Limits, "a has the same limits")
+	require.Empty(t, send(a, b).Limits, "b has the same limits")
+	b.limits.Observe(statedlimit.Statement{Upstream: u, SentAt: now.Add(time.Second)}, now.Add(time.Second))
+	now = now.Add(3 * time.Second)
+	send(b, a)
+	require.False(t, a.limits.Limit(u).Limited)
+}
--- a/internal/process/peers/peer.go
+++ b/internal/process/peers/peer.go
@@ -23,11 +23,10 @@
 	lost bool
 	// linkMbps is the bandwidth of the peer's link, 0 if unknown.
 	linkMbps float64
-	// evidenceDigest is the digest of the peer's evidence in its last message, and
-	// evidenceSent the digests when this router's evidence was last sent to it.
-	evidenceDigest uint64
-	evidenceSent   digests
-	evidenceSentAt time.Time
+	// stated holds the digests in the peer's last message, evidenceSent and limitsSent
+	// what was last sent to it.
+	stated                   digests
+	evidenceSent, limitsSent sentNews
 	// stopTime is when the peer exits, zero if it is not stopping.
 	stopTime time.Time
 }
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +17,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 )
 
 const (
@@ -23,10 +25,11 @@
 	exchangePath = "/v1/peers/exchange"
 	// gossipInterval is the time between two exchanges with random peers.
 	// fastGossipInterval applies instead while the store counts as lost or no other
-	// router is known, and for evidencePeriod after an engine has ended at a prompt.
+	// router is known, and for newsPeriod after an engine has ended at a prompt or the
+	// limit of an upstream has changed.
 	gossipInterval     = time.Second
 	fastGossipInterval = 150 * time.Millisecond
-	evidencePeriod     = 2 * time.Second
+	newsPeriod         = 2 * time.Second
 	// longPollWait is how long a reader holds an exchange without a change.
 	longPollWait = 500 * time.Millisecond
 	// longPollRetryDelay is the pause after a reader failed to send its items.
@@ -59,6 +62,7 @@
 	linkMbps float64
 	mirror   *mirror.Mirror
 	prompts  *promptblock.List
+	limits   *statedlimit.Limits
 	fetcher  *upstreamclient.Fetcher
 	log      *eventlog.Log
 	clock    func() time.Time
@@ -96,16 +100,18 @@
 	Mirror   *mirror.Mirror
 	// Prompts holds the evidence on prompts that all routers share.
 	Prompts *promptblock.List
-	Pool    *upstreamclient.Pool
-	Log     *eventlog.Log
-	Scope   tally.Scope
-	Clock   func() time.Time
+	// Limits holds the rate limits of upstreams that all routers share.
+	Limits *statedlimit.Limits
+	Pool   *upstreamclient.Pool
+	Log    *eventlog.Log
+	Scope  tally.Scope
+	Clock  func() time.Time
 }
 
 // New returns a Peers that knows only the seeds.
 func New(o Options) *Peers {
 	return &Peers{
-		self: o.Address, linkMbps: o.LinkMbps, seeds: o.Seeds, mirror: o.Mirror, prompts: o.Prompts,
+		self: o.Address, linkMbps: o.LinkMbps, seeds: o.Seeds, mirror: o.Mirror, prompts: o.Prompts, limits: o.Limits,
 		fetcher: upstreamclient.NewFetcher(o.Pool, exchangeLimits), log: o.Log, clock: o.Clock,
 		metrics: newMetrics(o.Scope), failures: newFailures(o.Log), known: make(map[string]peer), ahead: make(chan string, 1),
 	}
@@ -167,12 +173,18 @@
 }
 
 func (p *Peers) interval() time.Duration {
-	if p.storeLost() || len(p.alive()) == 0 || p.prompts.HasRecentCrash(evidencePeriod, p.clock()) {
+	if p.storeLost() || len(p.alive()) == 0 || p.hasNews(p.clock()) {
 		return fastGossipInterval
 	}
 	return gossipInterval
 }
 
+// hasNews reports whether this router has learned within newsPeriod what all
+// routers must know.
+func (p *Peers) hasNews(now time.Time) bool {
+	return p.prompts.HasRecentCrash(newsPeriod, now) || p.limits.ChangedWithin(newsPeriod, now)
+}
+
 // followReaders long-polls the readers one after another until the context ends.
 func (p *Peers) followReaders(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
@@ -229,14 +241,17 @@
 
 // IsResponsible reports whether this router acts for all on the matter with the
 // name. Routers that know the same peers agree on one.
-func (p *Peers) IsResponsible(name string) bool {
-	own := xxhash.Sum64String(p.self + " " + name)
-	for _, address := range p.alive() {
-		if xxhash.Sum64String(address+" "+name) > own {
-			return false
-		}
-	}
-	return true
+func (p *Peers) IsResponsible(name string) bool { return p.Ranked(name, 1)[0] == p.self }
+
+// Ranked returns the addresses of the first n routers that are alive, this one
+// included, in an order that depends on the name. Routers that know the same peers
+// agree on it.
+func (p *Peers) Ranked(name string, n int) []string {
+	ranked := append(p.alive(), p.self)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(b+" "+name), xxhash.Sum64String(a+" "+name)), cmp.Compare(a, b))
+	})
+	return ranked[:min(n, len(ranked))]
 }
 
 // Path returns the URL path at which ServeHTTP must be served.
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -45,7 +45,7 @@
 		seeds := []string{sockets[0].Addr().String(), "127.0.0.1:1"}
 		p := New(Options{
 			Address: sockets[i].Addr().String(), Seeds: seeds, Mirror: m, Pool: pool,
-			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 		})
 		server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 		nodes[i] = &node{peers: p, mirror: m, server: server}
@@ -136,7 +136,7 @@
 func TestRouterQueriesStoreOnceReadersLoseContact(t *testing.T) {
 	p := New(Options{
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
@@ -151,7 +151,7 @@
 	now := time.Now()
 	p := New(Options{
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 	})
 	p.ownStopTime = now.Add(7 * time.Second)
 	p.recordContact("a:1", 0)
@@ -170,7 +170,7 @@
 func TestStoreContactCountsOnlyWithPeersItems(t *testing.T) {
 	p := New(Options{
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
 	p.recordStoreContact(5, time.Now())
 	require.True(t, p.storeLost())
@@ -200,7 +200,7 @@
 	for i := range routers {
 		routers[i] = New(Options{
 			Address: fmt.Sprintf("router-%d:1", i), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 		})
 		routers[i].recordContact("gone:1", 7)
 		routers[i].addNamed(message{Peers: []string{"router-0:1"}})
@@ -226,7 +226,7 @@
 	for i := range routers {
 		routers[i] = New(Options{
 			Address: fmt.Sprintf("router-%d:1", i), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope,
+			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope,
 			Clock: func() time.Time { return now },
 		})
 	}
@@ -249,7 +249,7 @@
 func TestRouterThatKnowsNoOtherAsksItsSeedsOften(t *testing.T) {
 	p := New(Options{
 		Address: "self:1", Seeds: []string{"seed:1", "gone:1"}, Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
 	p.mirror.RecordContact(time.Now())
 	require.Equal(t, fastGossipInterval, p.interval())
--- a/internal/process/peers/readers_test.go
+++ b/internal/process/peers/readers_test.go
@@ -24,7 +24,7 @@
 		}
 		routers[i] = New(Options{
 			Address: fmt.Sprintf("router-%d:1", i), LinkMbps: link, Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
+			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
 		})
 	}
 	gossip(routers, &now, 14)
@@ -41,7 +41,7 @@
 func TestRouterWithUnknownLinkIsReaderOnlyAlone(t *testing.T) {
 	p := New(Options{
 		Address: "self:1", LinkMbps: 10, Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
 	p.recordSender("a:1", message{Address: "a:1"})
 	p.recordSender("b:1", message{Address: "b:1"})
--- a/internal/process/peers/smalllinks_test.go
+++ b/internal/process/peers/smalllinks_test.go
@@ -218,7 +218,7 @@
 		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
 		p := New(Options{
 			Address: address, Seeds: []string{sockets[0].Addr().String()}, Mirror: m, Pool: pool,
-			Prompts: promptblock.New(func(promptblock.Change) {}), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 		})
 		f := mirror.NewFollower(m, &storeClient{store: store, link: links[address]}, eventlog.Discard(), time.Now, 0, p.MustQueryStore)
 		servers[i] = &http.Server{Handler: overLinks(p, address, links), ReadHeaderTimeout: time.Second}
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -11,7 +11,9 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
+	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
 	"github.com/flamingohold/flamingohold/internal/process/selection"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
@@ -55,11 +57,19 @@
 	TryAcquire(ctx context.Context, target directory.View, requestID string) (release func(), ok bool)
 }
 
+// Permits keeps all routers together within the limits that upstreams state.
+type Permits interface {
+	// Acquire returns whether a request may be sent to the upstream, at once or within
+	// maxWait.
+	Acquire(ctx context.Context, u statedlimit.Upstream, maxWait time.Duration) ratepermit.Decision
+}
+
 // Relocator moves the runs of one process.
 type Relocator struct {
 	client    CopyClient
 	directory Directory
 	turns     Turns
+	permits   Permits
 	log       *eventlog.Log
 	clock     func() time.Time
 	random    func() float64
@@ -77,6 +87,7 @@
 	CopyClient CopyClient
 	Directory  Directory
 	Turns      Turns
+	Permits    Permits
 	Log        *eventlog.Log
 	Clock      func() time.Time
 	// Random returns a random number from [0, 1).
@@ -89,7 +100,7 @@
 // New returns a relocator without runs.
 func New(o Options) *Relocator {
 	return &Relocator{
-		client: o.CopyClient, directory: o.Directory, turns: o.Turns, log: o.Log, clock: o.Clock,
+		client: o.CopyClient, directory: o.Directory, turns: o.Turns, permits: o.Permits, log: o.Log, clock: o.Clock,
 		random: o.Random, engine: o.Engine, runs: make(map[string]map[*Run]struct{}),
 	}
 }
@@ -178,6 +189,11 @@
 			return
 		}
 		excluded[target.ID] = true
+		if !m.permits.Acquire(ctx, statedlimit.Upstream{ID: target.ID, Incarnation: target.Incarnation}, 0).Granted {
+			releaseTarget()
+			m.logFailure(r, source, target, "acquire_permit", errors.New("the limit that the upstream states is used up"))
+			continue
+		}
 		err := m.moveTo(ctx, r, source, target)
 		releaseTarget()
 		if err == nil || r.hasEnded() || ctx.Err() != nil || !errors.Is(err, ErrNoRoom) {
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
+	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
@@ -59,9 +61,17 @@
 	return func() {}, !s.inUse[v.ID] || (!s.inUseUntil.IsZero() && time.Now().After(s.inUseUntil))
 }
 
+// stubPermits grants permits for every upstream except those in limited.
+type stubPermits struct{ limited map[string]bool }
+
+func (s *stubPermits) Acquire(_ context.Context, u statedlimit.Upstream, _ time.Duration) ratepermit.Decision {
+	return ratepermit.Decision{Granted: !s.limited[u.ID]}
+}
+
 type harness struct {
 	directory *directory.Directory
 	client    *scriptedCopyClient
+	permits   stubPermits
 	relocator *Relocator
 }
 
@@ -79,7 +89,7 @@
 		}, time.Now())
 	}
 	h.relocator = New(Options{
-		CopyClient: h.client, Directory: h.directory, Turns: turns, Log: eventlog.Discard(), Clock: time.Now,
+		CopyClient: h.client, Directory: h.directory, Turns: turns, Permits: &h.permits, Log: eventlog.Discard(), Clock: time.Now,
 		Random: func() float64 { return 0 },
 		Engine: func(string) *routetable.Engine { return &routetable.Engine{MemoryTokens: 1000, EventTokens: 4} },
 	})
@@ -124,6 +134,16 @@
 	require.Equal(t, "far", settledHandoff(t, r).Target.ID)
 }
 
+// Guards against moving a run to an upstream that states a limit which is used up.
+func TestTargetWhoseLimitIsUsedUpIsNotChosen(t *testing.T) {
+	h := newHarness(t, stubTurns{}, copyAtOnce)
+	h.permits.limited = map[string]bool{"near": true}
+	r := h.run(t, "r1")
+	r.Event()
+	h.leave("source")
+	require.Equal(t, "far", settledHandoff(t, r).Target.ID)
+}
+
 // Guards against all routers falling back to the same upstream when the links of
 // all queried upstreams are in use.
 func TestTargetIsRandomWhenAllLinksAreInUse(t *testing.T) {
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/peers"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/reporterclient"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
@@ -86,6 +87,7 @@
 	peers     *peers.Peers
 	prompts   *promptblock.List
 	stated    *statedlimit.Limits
+	permits   *ratepermit.Permits
 	directory *directory.Directory
 	view      *fleetview.View
 	relocator *relocation.Relocator
@@ -108,17 +110,20 @@
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
 	r.mirror = mirror.New(r.view.Apply)
 	r.prompts = promptblock.New(r.logPrompts)
-	r.stated = statedlimit.New(r.logLimit)
+	r.stated = statedlimit.New(r.isListed, r.logLimit)
 	r.peers = peers.New(peers.Options{
-		Address: s.PeerAddress, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Mirror: r.mirror, Prompts: r.prompts, Pool: r.pool,
+		Address: s.PeerAddress, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Mirror: r.mirror, Prompts: r.prompts, Limits: r.stated, Pool: r.pool,
 		Log: log, Scope: t.Scope(), Clock: r.clock,
 	})
+	r.permits = ratepermit.New(ratepermit.Options{
+		Address: s.PeerAddress, Peers: r.peers, Limits: r.stated, Pool: r.pool, Log: log, Scope: t.Scope(), Clock: r.clock,
+	})
 	r.follower = mirror.NewFollower(r.mirror, p.Store(upstreamclient.NewFetcher(r.pool, storeLimits)), log, r.clock, storeChangeDelay, r.peers.MustQueryStore)
 	r.notice.Store(int64(s.ShutdownNotice))
 	r.budget = retrywindow.New(retryBound(s), r.peers.Count)
 	r.reporters = reporterclient.New(r.pool, r.directory, r.hasReporters, s.ReporterPort, log, r.clock)
 	r.relocator = relocation.New(relocation.Options{
-		CopyClient: p.CopyClient(r.pool), Directory: r.directory, Turns: r.reporters, Log: log,
+		CopyClient: p.CopyClient(r.pool), Directory: r.directory, Turns: r.reporters, Permits: r.permits, Log: log,
 		Clock: r.clock, Random: rand.Float64, Engine: r.movableEngine,
 	})
 	return r, nil
@@ -134,9 +139,15 @@
 	}
 }
 
+// isListed reports whether the directory holds the incarnation of the upstream.
+func (r *Router) isListed(u statedlimit.Upstream) bool {
+	v, ok := r.directory.Upstream(u.ID, r.clock())
+	return ok && v.Incarnation == u.Incarnation
+}
+
 // logLimit logs a changed limit of an upstream.
-func (r *Router) logLimit(c statedlimit.Change) {
-	r.log.Emit(eventlog.UpstreamLimitChanged).Str("upstream", c.Upstream.ID).Int64("incarnation", c.Upstream.Incarnation).
+func (r *Router) logLimit(c statedlimit.Limit) {
+	r.log.Emit(eventlog.UpstreamLimitChanged).Str("upstream", c.ID).Int64("incarnation", c.Incarnation).
 		Bool("limited", c.Limited).Float64("per_second", c.PerSecond).Uint64("version", c.Version).Send()
 }
 
@@ -226,6 +237,7 @@
 func (r *Router) listen(processCtx context.Context) ([]*listener.Listener, *listener.Listener, error) {
 	mux := http.NewServeMux()
 	mux.Handle(peers.Path(), r.peers)
+	mux.Handle(ratepermit.Path(), r.permits)
 	callers, err := listener.New(listener.Options{
 		Address: r.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, Limits: r.limits,
 		MaxConnections: max(1, r.settings.MaxDescriptors-reservedDescriptors), OnPanic: r.panicked,
@@ -254,7 +266,7 @@
 func (r *Router) forwarder(processCtx context.Context) http.Handler {
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
-		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, Limits: r.stated, IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
+		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, Limits: r.stated, Permits: r.permits, IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
 		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopsAt, TimeUntilAvailable: r.peers.TimeUntilAvailable, ProcessContext: processCtx,
 	})
 }
--- a/internal/process/statedlimit/limits.go
+++ b/internal/process/statedlimit/limits.go
@@ -22,36 +22,42 @@
 	SentAt time.Time
 }
 
-// Change is a changed limit of an upstream.
-type Change struct {
-	Upstream  Upstream
-	Limited   bool
-	PerSecond float64
-	// Version counts the changes of this upstream's limit.
-	Version uint64
+// Limit is the limit of an upstream.
+type Limit struct {
+	Upstream
+	// Limited is true if the upstream states a limit, which is then PerSecond.
+	Limited   bool    `json:"limited,omitempty"`
+	PerSecond float64 `json:"per_second,omitempty"`
+	// Version counts the changes of this upstream's limit that routers have seen, 0
+	// if no router has seen any.
+	Version uint64 `json:"version"`
 }
 
 // Limits holds the limits that upstreams state. It is safe for concurrent use.
 type Limits struct {
-	onChange func(Change)
+	// known reports whether the upstream is in the list of upstreams. Limits of
+	// others are dropped.
+	known    func(Upstream) bool
+	onChange func(Limit)
 
 	mu      sync.Mutex
-	records map[Upstream]*record
+	records map[Upstream]record
+	// changedAt is the time of the last change.
+	changedAt time.Time
 }
 
 // record is the limit of one upstream.
 type record struct {
-	limited   bool
-	perSecond float64
-	version   uint64
+	Limit
 	// statedAt is when an answer to this router last stated the limit.
 	statedAt time.Time
 }
 
-// New returns an empty set. The function onChange is called for each limit that
-// changes, with the lock held.
-func New(onChange func(Change)) *Limits {
-	return &Limits{onChange: onChange, records: make(map[Upstream]*record)}
+// New returns an empty set. The function known reports whether the upstream is in
+// the list of upstreams, and onChange is called for each limit that changes; both
+// are called with the lock held.
+func New(known func(Upstream) bool, onChange func(Limit)) *Limits {
+	return &Limits{known: known, onChange: onChange, records: make(map[Upstream]record)}
 }
 
 // Observe records the statement of an answer that has just arrived. An answer
@@ -60,28 +66,37 @@
 func (l *Limits) Observe(s Statement, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.records[s.Upstream]
-	if r == nil {
-		if !s.Limited {
-			return
-		}
-		r = &record{}
-		l.records[s.Upstream] = r
-	}
-	if !s.Limited && s.SentAt.Before(r.statedAt) {
+	r, found := l.records[s.Upstream]
+	switch {
+	case !found && !s.Limited:
 		return
-	}
-	if s.Limited {
+	case s.Limited:
 		r.statedAt = now
-	}
-	if s.Limited == r.limited && s.PerSecond == r.perSecond {
+	case s.SentAt.Before(r.statedAt):
 		return
 	}
-	l.change(s.Upstream, r, record{limited: s.Limited, perSecond: s.PerSecond, version: r.version + 1, statedAt: r.statedAt})
+	next := Limit{Upstream: s.Upstream, Limited: s.Limited, PerSecond: s.PerSecond, Version: r.Version}
+	changed := next != r.Limit
+	if changed {
+		next.Version++
+	}
+	r.Limit = next
+	l.records[s.Upstream] = r
+	if changed {
+		l.noteChange(next, now)
+	}
+}
+
+func (l *Limits) noteChange(limit Limit, now time.Time) {
+	l.changedAt = now
+	l.onChange(limit)
 }
 
-// change replaces the record and calls onChange.
-func (l *Limits) change(u Upstream, r *record, next record) {
-	*r = next
-	l.onChange(Change{Upstream: u, Limited: r.limited, PerSecond: r.perSecond, Version: r.version})
+// Limit returns the limit of the upstream.
+func (l *Limits) Limit(u Upstream) Limit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.records[u].Limit
+	limit.Upstream = u
+	return limit
 }
--- a/internal/process/statedlimit/limits_test.go
+++ b/internal/process/statedlimit/limits_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 var (
@@ -14,16 +15,78 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+func all(Upstream) bool { return true }
+
 // Guards against a limit that an answer from before it lifts, and one that stays although answers no longer state it.
 func TestOnlyLaterAnswersLiftALimit(t *testing.T) {
-	var changes []Change
-	l := New(func(c Change) { changes = append(changes, c) })
+	var changes []Limit
+	l := New(all, func(c Limit) { changes = append(changes, c) })
 	l.Observe(Statement{Upstream: upstream, SentAt: at(0)}, at(10))
 	require.Empty(t, changes, "an answer without a limit changes nothing")
 	l.Observe(Statement{Upstream: upstream, Limited: true, PerSecond: 4.1, SentAt: at(0)}, at(20))
 	l.Observe(Statement{Upstream: upstream, Limited: true, PerSecond: 4.1, SentAt: at(25)}, at(30))
 	l.Observe(Statement{Upstream: upstream, SentAt: at(29)}, at(40))
-	require.Equal(t, []Change{{Upstream: upstream, Limited: true, PerSecond: 4.1, Version: 1}}, changes)
+	require.Equal(t, []Limit{{Upstream: upstream, Limited: true, PerSecond: 4.1, Version: 1}}, changes)
 	l.Observe(Statement{Upstream: upstream, SentAt: at(30)}, at(50))
-	require.Equal(t, Change{Upstream: upstream, Version: 2}, changes[1])
+	require.Equal(t, Limit{Upstream: upstream, Version: 2}, changes[1])
+}
+
+// Guards against routers that keep different limits, whichever of them reads or hears of a change first.
+func TestRoutersAgreeOnTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := make([]*Limits, 4)
+		for i := range routers {
+			routers[i] = New(all, func(Limit) {})
+		}
+		now := 0
+		last := Statement{Upstream: upstream}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += rapid.IntRange(1, 700).Draw(t, "ms")
+			if rapid.Bool().Draw(t, "change") {
+				last.Limited = rapid.Bool().Draw(t, "limited")
+				last.PerSecond = 0
+				if last.Limited {
+					last.PerSecond = float64(rapid.IntRange(1, 5).Draw(t, "per second"))
+				}
+			}
+			last.SentAt = at(now)
+			routers[rapid.IntRange(0, 3).Draw(t, "reader")].Observe(last, at(now))
+			shared, _ := routers[rapid.IntRange(0, 3).Draw(t, "from")].Shared()
+			routers[rapid.IntRange(0, 3).Draw(t, "to")].Merge(shared, at(now))
+		}
+		now += int(ownStatementPeriod.Milliseconds())
+		last.SentAt = at(now)
+		for range 2 {
+			for _, reader := range routers {
+				reader.Observe(last, at(now))
+				shared, _ := reader.Shared()
+				for _, other := range routers {
+					other.Merge(shared, at(now))
+				}
+			}
+			now += int(ownStatementPeriod.Milliseconds())
+			last.SentAt = at(now)
+		}
+		_, digest := routers[0].Shared()
+		for _, r := range routers {
+			require.Equal(t, last.Limited, r.Limit(upstream).Limited)
+			require.InDelta(t, last.PerSecond, r.Limit(upstream).PerSecond, 0)
+			_, d := r.Shared()
+			require.Equal(t, digest, d)
+		}
+	})
+}
+
+// Guards against limits of upstreams that have gone being passed between routers for ever.
+func TestLimitsOfUnknownUpstreamsAreDropped(t *testing.T) {
+	known := true
+	l := New(func(Upstream) bool { return known }, func(Limit) {})
+	l.Observe(Statement{Upstream: upstream, Limited: true, PerSecond: 2, SentAt: at(0)}, at(1))
+	shared, _ := l.Shared()
+	require.Len(t, shared, 1)
+	known = false
+	l.Merge(shared, at(2))
+	shared, digest := l.Shared()
+	require.Empty(t, shared)
+	require.Zero(t, digest)
 }
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -71,7 +70,8 @@
 
 // chooseUpstream chooses an upstream and adds the request to its load in the
 // directory. The function done must be called when the request has ended there.
-func (c *call) chooseUpstream(now time.Time) (v directory.View, done func(), ok bool) {
+func (c *call) chooseUpstream(ctx context.Context) (v directory.View, done func(), ok bool) {
+	now := c.Clock()
 	request := selection.Request{
 		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
 	}
@@ -83,7 +83,8 @@
 			return directory.View{}, nil, false
 		}
 		c.tried[v.ID] = true
-		if c.Directory.Begin(v.ID, tokens, now) {
+		_, others := selection.Choose(views, request, rand.Float64)
+		if c.acquirePermit(ctx, v, !others) && c.Directory.Begin(v.ID, tokens, c.Clock()) {
 			c.logChoice(v, views, request)
 			return v, func() { c.Directory.End(v.ID, tokens) }, true
 		}
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
@@ -37,6 +38,13 @@
 	End(r *relocation.Run)
 }
 
+// Permits keeps all routers together within the limits that upstreams state.
+type Permits interface {
+	// Acquire returns whether a request may be sent to the upstream, at once or within
+	// maxWait.
+	Acquire(ctx context.Context, u statedlimit.Upstream, maxWait time.Duration) ratepermit.Decision
+}
+
 // Options are the dependencies of a forwarder.
 type Options struct {
 	Names      headers.Names
@@ -49,8 +57,10 @@
 	// Prompts holds the evidence on prompts that end engines. IsResponsible reports
 	// whether this router acts for all routers on a matter.
 	Prompts *promptblock.List
-	// Limits holds the rate limits that upstreams state.
+	// Limits holds the rate limits that upstreams state, and Permits keeps all
+	// routers together within them.
 	Limits        *statedlimit.Limits
+	Permits       Permits
 	IsResponsible func(name string) bool
 	Relocator     Relocator
 	Log           *eventlog.Log
@@ -104,6 +114,9 @@
 	mayHaveRun bool
 	// tried is the set of upstreams that were chosen before.
 	tried map[string]bool
+	// permitIn is the shortest time until an upstream that was not chosen because of
+	// its limit may be chosen, 0 if there is none.
+	permitIn time.Duration
 }
 
 // ServeHTTP serves one request.
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
@@ -46,6 +47,7 @@
 type harness struct {
 	t         *testing.T
 	directory *directory.Directory
+	limits    *statedlimit.Limits
 	forwarder *Forwarder
 	relocator *scriptedRelocator
 	listener  *listener.Listener
@@ -54,6 +56,12 @@
 	end atomic.Pointer[time.Time]
 }
 
+// singleRouter is the only router.
+type singleRouter struct{}
+
+// Ranked implements ratepermit.Peers.
+func (singleRouter) Ranked(string, int) []string { return []string{"router:1"} }
+
 // scriptedRelocator records the runs and passes them to the test.
 type scriptedRelocator struct {
 	mu   sync.Mutex
@@ -111,11 +119,15 @@
 		t.Cleanup(server.Close)
 		h.addUpstream(i, strings.TrimPrefix(server.URL, "http://"))
 	}
+	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
+	h.limits = statedlimit.New(func(statedlimit.Upstream) bool { return true }, func(statedlimit.Limit) {})
 	h.forwarder = New(Options{
 		Names: testNames, DataCentre: "dc-1", Table: func() *routetable.Table { return h.table }, Directory: h.directory,
-		Pool:    upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now),
-		Budget:  retrywindow.New(retrywindow.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
-		Limits:  statedlimit.New(func(statedlimit.Change) {}),
+		Pool:   pool,
+		Budget: retrywindow.New(retrywindow.Bound{Ratio: 1, Slack: 100, Window: time.Second}, func() int { return 1 }),
+		Limits: h.limits, Permits: ratepermit.New(ratepermit.Options{
+			Address: "router:1", Peers: singleRouter{}, Limits: h.limits, Pool: pool, Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
+		}),
 		Prompts: promptblock.New(func(promptblock.Change) {}), IsResponsible: func(string) bool { return true },
 		Relocator: h.relocator, Log: eventlog.Discard(), Clock: time.Now,
 		Metrics: NewMetrics(tally.NoopScope), ProcessContext: t.Context(),
--- a/internal/request/forwarding/limit.go
+++ b/internal/request/forwarding/limit.go
@@ -1,14 +1,24 @@
 package forwarding
 
 import (
+	"context"
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 )
 
+const (
+	// maxPermitWait bounds the wait for a permit of the last upstream that a request
+	// may be sent to, and permitWaitShare does so as a share of the time that the
+	// caller still waits.
+	maxPermitWait   = 300 * time.Millisecond
+	permitWaitShare = 0.25
+)
+
 // observeLimit records what the answer says of the upstream's rate limit. Only
 // successes show that there is no limit any more.
 func (c *call) observeLimit(v directory.View, o outcome, answer *upstreamclient.Answer, sentAt, now time.Time) {
@@ -23,8 +33,31 @@
 	if !limited && !isSuccess(answer.Status) {
 		return
 	}
-	c.Limits.Observe(statedlimit.Statement{
-		Upstream: statedlimit.Upstream{ID: v.ID, Incarnation: v.Incarnation},
-		Limited:  limited, PerSecond: perSecond, SentAt: sentAt,
-	}, now)
+	c.Limits.Observe(statedlimit.Statement{Upstream: incarnation(v), Limited: limited, PerSecond: perSecond, SentAt: sentAt}, now)
+}
+
+// acquirePermit reports whether the request may be sent to the upstream under the
+// limit that it states. It waits for a permit only if this is the last upstream
+// that the request may be sent to.
+func (c *call) acquirePermit(ctx context.Context, v directory.View, last bool) bool {
+	maxWait := time.Duration(0)
+	if last {
+		left := time.Duration(permitWaitShare * float64(c.deadline.Sub(c.Clock())))
+		maxWait = max(0, min(maxPermitWait, left))
+	}
+	d := c.Permits.Acquire(ctx, incarnation(v), maxWait)
+	if d.Granted {
+		return d.Wait == 0 || pause.For(ctx, d.Wait)
+	}
+	if c.permitIn == 0 || d.RetryIn < c.permitIn {
+		c.permitIn = max(time.Millisecond, d.RetryIn)
+	}
+	c.Log.Emit(eventlog.PermitRefused).Str("request_id", c.id).Str("upstream", v.ID).Float64("per_second", d.Limit.PerSecond).
+		Uint64("limit_version", d.Limit.Version).Dur("max_wait", maxWait).Dur("retry_in", d.RetryIn).Bool("last", last).Send()
+	return false
+}
+
+// incarnation identifies the incarnation of the upstream.
+func incarnation(v directory.View) statedlimit.Upstream {
+	return statedlimit.Upstream{ID: v.ID, Incarnation: v.Incarnation}
 }
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -29,7 +29,7 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failure *plainAnswer
 	for c.mayTry(ctx) {
-		v, done, ok := c.chooseUpstream(c.Clock())
+		v, done, ok := c.chooseUpstream(ctx)
 		if !ok {
 			break
 		}
@@ -68,6 +68,8 @@
 		c.refuse(refusal{status: http.StatusBadGateway, reason: "no_answer"})
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout_not_run", retryAfter: busyRetryAfter})
+	case c.permitIn > 0:
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "upstream_limits", retryAfter: max(busyRetryAfter, c.permitIn)})
 	default:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", retryAfter: busyRetryAfter})
 	}
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -50,7 +50,7 @@
 	defer stop()
 	s.survived = stop
 	for c.mayTry(ctx) {
-		v, done, ok := c.chooseUpstream(c.Clock())
+		v, done, ok := c.chooseUpstream(ctx)
 		if !ok {
 			break
 		}
