Let only as many routers send to a cold upstream as its rate allows

Found by looking for the class of the stated limit elsewhere: a bound on what all routers send together, to which each keeps alone. Now at most half as many routers as the rate allows requests in a second take part, chosen by the upstream; the sum stays within 1.2 times the rate and one request for any number of routers. The rate is computed only for upstreams that are cold, no longer for each view.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -97,19 +97,19 @@
 	mu        sync.Mutex
 	upstreams map[string]*upstream
 	evacuated map[string]bool
-	// coldRate returns the rate, in requests per second, at which this process may
-	// send to a cold upstream of the service, 0 for no bound.
-	coldRate func(service string) float64
+	coldRate  ColdRate
 	// onDeparture is called for each upstream that starts to leave, onSuspect for
 	// each upstream that this process starts to suspect. Neither is called with the
 	// lock held.
 	onDeparture, onSuspect func(id string)
 }
 
-// New returns an empty directory. The function coldRate returns the rate, in
-// requests per second, at which this process may send to a cold upstream of the
-// service, 0 for no bound.
-func New(log *eventlog.Log, coldRate func(service string) float64) *Directory {
+// ColdRate returns the rate, in requests per second, at which this process may send
+// to a cold upstream of the service, and false if there is no bound.
+type ColdRate func(service, upstream string) (perSecond float64, bounded bool)
+
+// New returns an empty directory.
+func New(log *eventlog.Log, coldRate ColdRate) *Directory {
 	return &Directory{
 		log:         log,
 		upstreams:   make(map[string]*upstream),
@@ -249,7 +249,7 @@
 	if u == nil {
 		return false
 	}
-	if !u.takeColdToken(d.coldRate(u.entry.Service), now) {
+	if !u.takeColdToken(d.coldRate, now) {
 		return false
 	}
 	u.calls++
@@ -332,7 +332,7 @@
 		if u.missingFromReport(now) > 0 && u.markSuspect(now) {
 			suspected = append(suspected, id)
 		}
-		views = append(views, u.view(now, d.coldRate(service)))
+		views = append(views, u.view(now, d.coldRate))
 	}
 	return views, suspected
 }
@@ -352,7 +352,7 @@
 	if u == nil {
 		return View{}, false
 	}
-	return u.view(now, 0), true
+	return u.view(now, d.coldRate), true
 }
 
 // All returns the views of all upstreams, whether or not they may get work.
@@ -361,7 +361,7 @@
 	defer d.mu.Unlock()
 	views := make([]View, 0, len(d.upstreams))
 	for _, u := range d.upstreams {
-		views = append(views, u.view(now, 0))
+		views = append(views, u.view(now, d.coldRate))
 	}
 	return views
 }
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -12,7 +12,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newDirectory() *Directory {
-	return New(eventlog.Discard(), func(string) float64 { return 10 })
+	return New(eventlog.Discard(), func(string, string) (float64, bool) { return 10, true })
 }
 
 func entry(id, address string, incarnation int64) Entry {
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -46,24 +46,28 @@
 	return u.failures * math.Exp2(-idle/failureHalfLife.Seconds())
 }
 
-// availableColdTokens returns the level of the cold upstream's token bucket, in
-// requests.
-func (u *upstream) availableColdTokens(rate float64, now time.Time) float64 {
-	if u.coldRefilledAt.IsZero() {
-		return coldBurstRequests
+// availableColdTokens returns the level of the cold upstream's token bucket, in requests.
+// The second result is false if the upstream is not cold or its rate is not bounded.
+func (u *upstream) availableColdTokens(rate ColdRate, now time.Time) (tokens float64, bounded bool) {
+	if !now.Before(u.coldUntil) {
+		return 0, false
+	}
+	perSecond, bounded := rate(u.entry.Service, u.entry.ID)
+	switch {
+	case !bounded || perSecond <= 0:
+		return 0, bounded
+	case u.coldRefilledAt.IsZero():
+		return coldBurstRequests, true
+	default:
+		return min(coldBurstRequests, u.coldTokens+perSecond*now.Sub(u.coldRefilledAt).Seconds()), true
 	}
-	return min(coldBurstRequests, u.coldTokens+rate*now.Sub(u.coldRefilledAt).Seconds())
-}
-
-func (u *upstream) isCold(rate float64, now time.Time) bool {
-	return rate > 0 && now.Before(u.coldUntil)
 }
 
-func (u *upstream) takeColdToken(rate float64, now time.Time) bool {
-	if !u.isCold(rate, now) {
+func (u *upstream) takeColdToken(rate ColdRate, now time.Time) bool {
+	tokens, bounded := u.availableColdTokens(rate, now)
+	if !bounded {
 		return true
 	}
-	tokens := u.availableColdTokens(rate, now)
 	if tokens < 1 {
 		return false
 	}
@@ -72,7 +76,7 @@
 	return true
 }
 
-func (u *upstream) view(now time.Time, coldRate float64) View {
+func (u *upstream) view(now time.Time, coldRate ColdRate) View {
 	v := View{
 		ID:               u.entry.ID,
 		Address:          u.entry.Address,
@@ -84,11 +88,12 @@
 		Tokens:           u.tokens,
 		FailureRate:      u.failureRate(now),
 		Suspect:          now.Before(u.suspectUntil) || u.missingFromReport(now) > 0,
-		Cold:             u.isCold(coldRate, now),
 		Leaving:          u.isLeaving(now),
 		Removed:          u.isRemoved(now),
 	}
-	v.Blocked = v.Cold && u.availableColdTokens(coldRate, now) < 1
+	tokens, cold := u.availableColdTokens(coldRate, now)
+	v.Cold = cold
+	v.Blocked = cold && tokens < 1
 	if !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < reportLifetime {
 		v.Reported = true
 		v.ReportAge = now.Sub(u.reportedAt)
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -241,18 +241,37 @@
 
 // IsResponsible reports whether this router acts for all on the matter with the
 // name. Routers that know the same peers agree on one.
-func (p *Peers) IsResponsible(name string) bool { return p.Ranked(name, 1)[0] == p.self }
+func (p *Peers) IsResponsible(name string) bool {
+	rank, _ := p.Rank(name)
+	return rank == 0
+}
+
+// Rank returns the position of this router in the order of Ranked, from 0, and the
+// number of routers that are alive, this one included.
+func (p *Peers) Rank(name string) (rank, routers int) {
+	alive := p.alive()
+	for _, address := range alive {
+		if compareRanks(name, address, p.self) < 0 {
+			rank++
+		}
+	}
+	return rank, len(alive) + 1
+}
 
 // Ranked returns the addresses of the first n routers that are alive, this one
 // included, in an order that depends on the name. Routers that know the same peers
 // agree on it.
 func (p *Peers) Ranked(name string, n int) []string {
 	ranked := append(p.alive(), p.self)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(b+" "+name), xxhash.Sum64String(a+" "+name)), cmp.Compare(a, b))
-	})
+	slices.SortFunc(ranked, func(a, b string) int { return compareRanks(name, a, b) })
 	return ranked[:min(n, len(ranked))]
 }
 
+// compareRanks compares the positions of two routers in the order that depends on
+// the name.
+func compareRanks(name, a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(b+" "+name), xxhash.Sum64String(a+" "+name)), cmp.Compare(a, b))
+}
+
 // Path returns the URL path at which ServeHTTP must be served.
 func Path() string { return exchangePath }
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -78,7 +78,7 @@
 func newHarness(t *testing.T, turns Turns, respond func(n int, request CopyRequest) (Copy, error)) *harness {
 	t.Helper()
 	h := &harness{client: &scriptedCopyClient{respond: respond}}
-	h.directory = directory.New(eventlog.Discard(), func(string) float64 { return 0 })
+	h.directory = directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0, false })
 	for i, id := range []string{"source", "near", "far"} {
 		centre := "dc-1"
 		if id == "far" {
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/reporterclient"
 	"github.com/flamingohold/flamingohold/internal/process/retrywindow"
+	"github.com/flamingohold/flamingohold/internal/process/sharedrate"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/request/forwarding"
@@ -163,14 +164,15 @@
 	r.notice.Store(int64(s.ShutdownNotice))
 }
 
-// coldRate returns this router's share of the rate of a cold upstream, in
-// requests per second.
-func (r *Router) coldRate(service string) float64 {
+// coldRate returns this router's part of the rate of a cold upstream, in requests
+// per second, and false if the rate is not bounded.
+func (r *Router) coldRate(service, upstream string) (perSecond float64, bounded bool) {
 	s := r.service(service)
 	if s == nil || s.ColdRequestsPerSecond <= 0 {
-		return 0
+		return 0, false
 	}
-	return s.ColdRequestsPerSecond * coldShare / float64(max(minRouters, r.peers.Count()))
+	rank, routers := r.peers.Rank(upstream)
+	return sharedrate.PerSecond(s.ColdRequestsPerSecond*coldShare, rank, max(minRouters, routers)), true
 }
 
 // service returns the service of the current route table, nil if there is none.
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -113,7 +113,7 @@
 		Limits:      routetable.Limits{MaxBodyBytes: testMaxBody},
 		AccountKeys: map[string]routetable.Account{testKey: {Name: "bakery"}},
 	})
-	h.directory = directory.New(eventlog.Discard(), func(string) float64 { return 0 })
+	h.directory = directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0, false })
 	for i, handler := range upstreams {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
