Ask for the rate of a cold upstream before a run moves there

Same class as the stated limit: a path to an upstream that does not ask for the bound. A run that moved was sent to its target whatever the rate of a cold one, and the result of Begin was ignored: if it was refused, the later End took another call off the count of the upstream. Three runs of one leaving engine moved at once to a cold one whose rate allows one request (own test, failed before); now one does and the others choose the next target. Admitting a request and counting its work are separate steps of the directory.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -239,24 +239,38 @@
 	d.log.Emit(event).Str("data_centre", dataCentre).Send()
 }
 
-// Begin records that work of about the given number of tokens is sent to the
-// upstream. It returns false if the upstream is unknown, or if it is cold and
-// its rate is used up.
+// Begin admits a request with work of about the given number of tokens to the
+// upstream and records the work. It returns false as Admit does.
 func (d *Directory) Begin(id string, tokens int, now time.Time) bool {
+	if !d.Admit(id, now) {
+		return false
+	}
+	d.Add(id, tokens)
+	return true
+}
+
+// Admit reports whether a request may be sent to the upstream. It returns false if
+// the upstream is unknown, or if it is cold and its rate is used up.
+func (d *Directory) Admit(id string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.upstreams[id]
+	return u != nil && u.takeColdToken(d.coldRate, now)
+}
+
+// Add records that work of about the given number of tokens is sent to the
+// upstream, for a request that was admitted.
+func (d *Directory) Add(id string, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	u := d.upstreams[id]
 	if u == nil {
-		return false
-	}
-	if !u.takeColdToken(d.coldRate, now) {
-		return false
+		return
 	}
 	u.calls++
 	u.tokens += tokens
 	u.callsSinceReport++
 	u.tokensSinceReport += tokens
-	return true
 }
 
 // End records that the work has ended.
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/relocation/relocation.go
@@ -44,6 +44,8 @@
 
 // Directory returns the known upstreams.
 type Directory interface {
+	// Admit reports whether a request may be sent to the upstream, which may be cold.
+	Admit(id string, now time.Time) bool
 	Service(service string, now time.Time) []directory.View
 	Upstream(id string, now time.Time) (directory.View, bool)
 }
@@ -189,9 +191,9 @@
 			return
 		}
 		excluded[target.ID] = true
-		if !m.permits.Acquire(ctx, statedlimit.Upstream{ID: target.ID, Incarnation: target.Incarnation}, 0).Granted {
+		if err := m.admit(ctx, target); err != nil {
 			releaseTarget()
-			m.logFailure(r, source, target, "acquire_permit", errors.New("the limit that the upstream states is used up"))
+			m.logFailure(r, source, target, "admit", err)
 			continue
 		}
 		err := m.moveTo(ctx, r, source, target)
@@ -202,6 +204,18 @@
 	}
 }
 
+// admit returns an error if no run may continue at the target now, because its rate
+// is used up.
+func (m *Relocator) admit(ctx context.Context, target directory.View) error {
+	if !m.permits.Acquire(ctx, statedlimit.Upstream{ID: target.ID, Incarnation: target.Incarnation}, 0).Granted {
+		return errors.New("the limit that the upstream states is used up")
+	}
+	if !m.directory.Admit(target.ID, m.clock()) {
+		return errors.New("the upstream is cold and its rate is used up, or it has gone")
+	}
+	return nil
+}
+
 // chooseTarget waits for an upstream whose link is free. If there is none within
 // maxTargetWait, it returns a random one of the upstreams that were queried, so
 // that the routers do not all choose the same target.
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/relocation/relocation_test.go
@@ -78,7 +78,7 @@
 func newHarness(t *testing.T, turns Turns, respond func(n int, request CopyRequest) (Copy, error)) *harness {
 	t.Helper()
 	h := &harness{client: &scriptedCopyClient{respond: respond}}
-	h.directory = directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0, false })
+	h.directory = directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0.01, true })
 	for i, id := range []string{"source", "near", "far"} {
 		centre := "dc-1"
 		if id == "far" {
@@ -144,6 +144,25 @@
 	require.Equal(t, "far", settledHandoff(t, r).Target.ID)
 }
 
+// Guards against moving several runs at once to a cold upstream whose rate allows one request.
+func TestMovesKeepToTheRateOfAColdTarget(t *testing.T) {
+	h := newHarness(t, stubTurns{}, copyAtOnce)
+	cold := directory.Entry{
+		ID: "near", Service: "lm", Address: "near:1", DataCentre: "dc-1", ConcurrencyLimit: 8, Incarnation: 2, ColdDuration: time.Minute,
+	}
+	h.directory.Upsert(cold, time.Now())
+	targets := map[string]int{}
+	runs := []*Run{h.run(t, "r1"), h.run(t, "r2"), h.run(t, "r3")}
+	for _, r := range runs {
+		r.Event()
+	}
+	h.leave("source")
+	for _, r := range runs {
+		targets[settledHandoff(t, r).Target.ID]++
+	}
+	require.Equal(t, map[string]int{"near": 1, "far": 2}, targets)
+}
+
 // Guards against all routers falling back to the same upstream when the links of
 // all queried upstreams are in use.
 func TestTargetIsRandomWhenAllLinksAreInUse(t *testing.T) {
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -199,7 +199,7 @@
 	s.moves++
 	s.Metrics.resumed(true)
 	tokens := s.sizes.Prompt + s.sizes.Output
-	s.Directory.Begin(at.ID, tokens, s.Clock())
+	s.Directory.Add(at.ID, tokens)
 	defer s.Directory.End(at.ID, tokens)
 	s.Relocator.RecordMove(s.ProcessContext, s.run, at)
 	if s.head == nil {
