Log the era of the store and what a complete read changes

After the store came back from a copy no line showed its era, the revision that a router asked for, or that items which it read were dropped, so that the hypotheses could not be told apart. The adapter decodes the era, store_history_gone has the revision, and store_read_completely has era, revisions and how many items changed. Nothing depends on the era yet.

--- a/internal/connection/upstreamclient/fetcher.go
+++ b/internal/connection/upstreamclient/fetcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/connection/stall"
@@ -35,6 +36,7 @@
 // Reply is a complete answer.
 type Reply struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -57,5 +59,5 @@
 	if int64(len(body)) > f.limits.MaxBytes {
 		return Reply{}, answer.tooLarge(f.limits.MaxBytes)
 	}
-	return Reply{Status: answer.Status, Body: body}, nil
+	return Reply{Status: answer.Status, Header: answer.Header, Body: body}, nil
 }
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -171,6 +171,10 @@
 		"A request was not sent to an upstream, because the limit that it states is used up; it may be sent to another one.",
 		"Add capacity to the service if its upstreams state limits often.",
 	}
+	StoreReadCompletely = Event{
+		6045, "store_read_completely", zerolog.InfoLevel,
+		"The process read all items of the metadata store; the line contains the store's era and revision, the revision held before and how many items changed.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -192,6 +196,6 @@
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
 		ItemsNotReceived, ItemsReceivedAgain,
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
-		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused,
+		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused, StoreReadCompletely,
 	}
 }
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -83,7 +83,8 @@
 			continue
 		case errors.Is(err, ErrCompacted):
 			f.snapshotDue = true
-			f.log.Emit(eventlog.StoreHistoryGone).Send()
+			revision, _ := f.mirror.Revision()
+			f.log.Emit(eventlog.StoreHistoryGone).Int64("after", revision).Send()
 			continue
 		}
 		f.noteFailure(err, f.clock().Sub(start))
@@ -107,8 +108,11 @@
 	}
 	f.noteSuccess()
 	batch.Source = StoreSource
-	f.mirror.Apply(batch, f.clock())
+	held, _ := f.mirror.Revision()
+	changed := f.mirror.Apply(batch, f.clock())
 	f.snapshotDue = false
+	f.log.Emit(eventlog.StoreReadCompletely).Int64("era", batch.Era).Int64("revision", batch.Revision).
+		Int64("held_revision", held).Int("items", len(batch.Items)).Int("changed", changed).Send()
 	return nil
 }
 
--- a/internal/process/mirror/item.go
+++ b/internal/process/mirror/item.go
@@ -27,8 +27,11 @@
 
 // Batch is a set of items and the revision up to which it is complete.
 type Batch struct {
-	Items    []Item `json:"items,omitempty"`
-	Revision int64  `json:"revision"`
+	Items []Item `json:"items,omitempty"`
+	// Era counts how often the store has been restored from a copy, 0 if unknown.
+	// Revisions of different eras cannot be compared.
+	Era      int64 `json:"era,omitempty"`
+	Revision int64 `json:"revision"`
 	// Full is true if the batch holds every key that existed at Revision. A key
 	// that is absent from a full batch has been deleted.
 	Full bool `json:"full,omitempty"`
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -52,8 +52,9 @@
 	return &Mirror{onChange: onChange, items: make(map[string]Item), lineages: make(map[string]*lineage), revisionChanged: make(chan struct{})}
 }
 
-// Apply stores the items of the batch that are newer than the ones held.
-func (m *Mirror) Apply(b Batch, now time.Time) {
+// Apply stores the items of the batch that are newer than the ones held. It returns
+// the number of items that changed.
+func (m *Mirror) Apply(b Batch, now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var changes []Change
@@ -76,6 +77,7 @@
 	if len(changes) > 0 {
 		m.onChange(changes, now)
 	}
+	return len(changes)
 }
 
 func (m *Mirror) put(item Item, source string, now time.Time) Change {
