Take over the state of a store that was restored from a copy

Cause: a revision was taken for a point in time, for all time. A restored store gives its revisions out again, so that the next configuration got one that the routers held; the watch resumed at a revision of the history that was gone, in a loop of 410 and complete reads (425 of them, none changed anything) and then in the middle of the new history. Routers compare revisions with each other as well.

Now the position of a mirror is the era of the store and a revision; the era comes with each answer and travels with each exchange. The first items of a later era must be complete and replace all others, at whatever revision; a watch that is answered in another era is not applied; steps of large values do not cross eras. What the copy says is not believed where more is known: a configuration of a lower version, as before; an entry of an upstream with a lower sequence or an earlier incarnation; an upstream that left or was removed, and an evacuation that is missing, for 10 s, in which they are written again.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -8,6 +8,10 @@
 )
 
 const (
+	// restoredDistrust is how long what a store that was restored from a copy says is
+	// not believed where this process knows it to be newer. Upstreams and operators
+	// write it again in that time.
+	restoredDistrust = 10 * time.Second
 	// unconfirmedRetention is how long an upstream stays in use after the list
 	// dropped it while the list was unstable.
 	unconfirmedRetention = 2 * time.Second
@@ -40,6 +44,8 @@
 	// Incarnation identifies the incarnation of the upstream, 0 if unknown. A later
 	// incarnation has a higher value.
 	Incarnation int64
+	// Sequence increases with each entry of an incarnation.
+	Sequence int64
 }
 
 // Report is the state of an upstream as it reports it.
@@ -62,6 +68,9 @@
 	// removedAt is the time from which the upstream counts as removed, zero for
 	// never.
 	removedAt time.Time
+	// distrustedUntil is the end of the time in which the entry is not believed,
+	// because it is older than one known before.
+	distrustedUntil time.Time
 	// coldUntil is the time from which the upstream is warm.
 	coldUntil time.Time
 	// coldTokens and coldRefilledAt are the level of the token bucket that limits
@@ -96,7 +105,9 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
-	evacuated map[string]bool
+	// evacuated holds the data centres that are out of service, each with the time at
+	// which it returns to service, zero if that is not known.
+	evacuated map[string]time.Time
 	coldRate  ColdRate
 	// onDeparture is called for each upstream that starts to leave, onSuspect for
 	// each upstream that this process starts to suspect. Neither is called with the
@@ -113,7 +124,7 @@
 	return &Directory{
 		log:         log,
 		upstreams:   make(map[string]*upstream),
-		evacuated:   make(map[string]bool),
+		evacuated:   make(map[string]time.Time),
 		coldRate:    coldRate,
 		onDeparture: func(string) {},
 		onSuspect:   func(string) {},
@@ -125,7 +136,33 @@
 func (d *Directory) OnDeparture(f func(id string)) { d.onDeparture = f }
 
 // Upsert adds or updates the upstream of an entry of the instance list.
-func (d *Directory) Upsert(e Entry, now time.Time) {
+func (d *Directory) Upsert(e Entry, now time.Time) { d.upsert(e, time.Time{}, now) }
+
+// Restore adds or updates the upstream of an entry of an instance list that was
+// restored from a copy. An entry that is older than the one known is ignored. If the
+// upstream is known to be leaving or removed, it gets no new work for a while, in
+// which it writes its entry again, and is then used if the list still contains it.
+func (d *Directory) Restore(e Entry, now time.Time) {
+	d.mu.Lock()
+	u := d.upstreams[e.ID]
+	outdated := u != nil && u.knowsNewer(e, now)
+	ignored := outdated && (e.Incarnation < u.entry.Incarnation || !u.entry.Leaving && u.removedAt.IsZero())
+	distrusted := outdated && (u.entry.Leaving || u.isRemoved(now))
+	d.mu.Unlock()
+	if outdated {
+		d.log.Emit(eventlog.ItemOutdated).Str("upstream", e.ID).Int64("incarnation", e.Incarnation).Int64("sequence", e.Sequence).
+			Bool("ignored", ignored).Bool("distrusted", distrusted).Send()
+	}
+	switch {
+	case ignored:
+	case distrusted:
+		d.upsert(e, now.Add(restoredDistrust), now)
+	default:
+		d.upsert(e, time.Time{}, now)
+	}
+}
+
+func (d *Directory) upsert(e Entry, distrustedUntil, now time.Time) {
 	d.mu.Lock()
 	u := d.upstreams[e.ID]
 	if u == nil || (u.entry.Incarnation != e.Incarnation && e.Incarnation != 0) || u.entry.Address != e.Address {
@@ -137,6 +174,7 @@
 	wasLeaving := u.isLeaving(now)
 	u.entry = e
 	u.removedAt = time.Time{}
+	u.distrustedUntil = distrustedUntil
 	d.markSuperseded(u, now)
 	if e.ColdDuration > 0 {
 		u.coldUntil = now.Add(e.ColdDuration)
@@ -222,14 +260,14 @@
 // SetEvacuated sets whether the data centre is out of service.
 func (d *Directory) SetEvacuated(dataCentre string, evacuated bool) {
 	d.mu.Lock()
-	changed := d.evacuated[dataCentre] != evacuated
+	_, wasEvacuated := d.evacuated[dataCentre]
 	if evacuated {
-		d.evacuated[dataCentre] = true
+		d.evacuated[dataCentre] = time.Time{}
 	} else {
 		delete(d.evacuated, dataCentre)
 	}
 	d.mu.Unlock()
-	if !changed {
+	if evacuated == wasEvacuated {
 		return
 	}
 	event := eventlog.DataCentreRestored
@@ -239,6 +277,27 @@
 	d.log.Emit(event).Str("data_centre", dataCentre).Send()
 }
 
+// ForgetEvacuation records that a store which was restored from a copy no longer
+// says that the data centre is out of service. It returns to service after a while,
+// unless the store says so again.
+func (d *Directory) ForgetEvacuation(dataCentre string, now time.Time) {
+	d.mu.Lock()
+	_, evacuated := d.evacuated[dataCentre]
+	if evacuated {
+		d.evacuated[dataCentre] = now.Add(restoredDistrust)
+	}
+	d.mu.Unlock()
+	if evacuated {
+		d.log.Emit(eventlog.ItemOutdated).Str("data_centre", dataCentre).Dur("returns_in", restoredDistrust).Send()
+	}
+}
+
+// isEvacuated reports whether the data centre is out of service.
+func (d *Directory) isEvacuated(dataCentre string, now time.Time) bool {
+	end, evacuated := d.evacuated[dataCentre]
+	return evacuated && (end.IsZero() || now.Before(end))
+}
+
 // Begin admits a request with work of about the given number of tokens to the
 // upstream and records the work. It returns false as Admit does.
 func (d *Directory) Begin(id string, tokens int, now time.Time) bool {
@@ -381,5 +440,5 @@
 }
 
 func (d *Directory) usable(u *upstream, now time.Time) bool {
-	return !u.isLeaving(now) && !d.evacuated[u.entry.DataCentre]
+	return !u.isLeaving(now) && !d.isEvacuated(u.entry.DataCentre, now)
 }
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -10,7 +10,16 @@
 const removedRetention = 60 * time.Second
 
 func (u *upstream) isLeaving(now time.Time) bool {
-	return u.isRemoved(now) || u.leaving || u.entry.Leaving
+	return u.isRemoved(now) || u.leaving || u.entry.Leaving || now.Before(u.distrustedUntil)
+}
+
+// knowsNewer reports whether this process knows more than the entry says: a later
+// incarnation, a later entry of the same one, or that it was removed.
+func (u *upstream) knowsNewer(e Entry, now time.Time) bool {
+	if e.Incarnation != u.entry.Incarnation {
+		return e.Incarnation < u.entry.Incarnation
+	}
+	return e.Sequence < u.entry.Sequence || e.Sequence == u.entry.Sequence && u.isRemoved(now)
 }
 
 // isRemoved reports whether the upstream counts as removed.
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -175,6 +175,15 @@
 		6045, "store_read_completely", zerolog.InfoLevel,
 		"The process read all items of the metadata store; the line contains the store's era and revision, the revision held before and how many items changed.", "none",
 	}
+	StoreRestored = Event{
+		6046, "store_restored", zerolog.WarnLevel,
+		"The metadata store was restored from a copy; the process takes over all items, and for a while keeps what it knows to be newer.",
+		"Check that the latest changes were written again.",
+	}
+	ItemOutdated = Event{
+		6047, "item_outdated", zerolog.InfoLevel,
+		"An item of the copy from which the store was restored is older than what the process knows, which stays in force until the item is written again.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -196,6 +205,6 @@
 		UpstreamSuperseded, UpstreamChosen, CopyNotFreed, UpstreamSuspected, SuspicionNotShared,
 		ItemsNotReceived, ItemsReceivedAgain,
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
-		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused, StoreReadCompletely,
+		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused, StoreReadCompletely, StoreRestored, ItemOutdated,
 	}
 }
--- a/internal/process/fleetview/fleetview.go
+++ b/internal/process/fleetview/fleetview.go
@@ -43,20 +43,43 @@
 func (v *View) apply(update Update, c mirror.Change, now time.Time) {
 	switch u := update.(type) {
 	case UpstreamListed:
-		v.directory.Upsert(u.Entry, now)
+		v.list(u.Entry, c.Restored, now)
 	case UpstreamUnlisted:
 		v.directory.MarkRemoved(u.ID, c.Unconfirmed, now)
 	case Evacuation:
-		v.directory.SetEvacuated(u.DataCentre, u.OutOfService)
+		v.evacuate(u, c.Restored, now)
 	case RouteTable:
 		v.replaceTable(u.Table, c)
 	}
 }
 
+// list adds or updates the upstream of an entry, which may be that of the copy from
+// which the store was restored.
+func (v *View) list(e directory.Entry, restored bool, now time.Time) {
+	if restored {
+		v.directory.Restore(e, now)
+		return
+	}
+	v.directory.Upsert(e, now)
+}
+
+// evacuate sets whether a data centre is out of service. The copy from which the
+// store was restored may be older than an evacuation.
+func (v *View) evacuate(e Evacuation, restored bool, now time.Time) {
+	if restored && !e.OutOfService {
+		v.directory.ForgetEvacuation(e.DataCentre, now)
+		return
+	}
+	v.directory.SetEvacuated(e.DataCentre, e.OutOfService)
+}
+
 // replaceTable replaces the current table, unless that has the same or a later
 // version.
 func (v *View) replaceTable(t *routetable.Table, c mirror.Change) {
 	if current := v.table.Load(); current != nil && current.Version() >= t.Version() {
+		if c.Restored {
+			v.log.Emit(eventlog.ItemOutdated).Str("key", c.Item.Key).Int64("version", t.Version()).Int64("version_in_force", current.Version()).Send()
+		}
 		return
 	}
 	v.table.Store(t)
--- a/internal/process/mirror/encoding.go
+++ b/internal/process/mirror/encoding.go
@@ -23,13 +23,17 @@
 }
 
 // EncodedSince returns the items of Since with each large value encoded for a
-// receiver that holds the given revisions of large values. Without a step from
+// receiver that holds the given revisions of large values, if these are of the same
+// era. Without a step from
 // such a revision, the value is sent completely; if that is necessary but complete
 // is false, EncodedSince returns false.
-func (m *Mirror) EncodedSince(revision int64, held map[string]int64, complete bool) (Batch, bool) {
+func (m *Mirror) EncodedSince(after Position, held map[string]int64, complete bool) (Batch, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := m.since(revision)
+	if after.Era != m.position.Era {
+		held = nil
+	}
+	b := m.since(after)
 	for i, item := range b.Items {
 		l := m.lineages[item.Key]
 		if l == nil {
@@ -40,7 +44,7 @@
 			continue
 		}
 		if !complete {
-			return Batch{Revision: b.Revision}, false
+			return Batch{Era: b.Era, Revision: b.Revision}, false
 		}
 		if l.compressed == nil {
 			l.compressed = codec.Compress(item.Value)
--- a/internal/process/mirror/encoding_test.go
+++ b/internal/process/mirror/encoding_test.go
@@ -20,8 +20,8 @@
 
 // transfer sends what the receiver lacks and reports whether it was permitted.
 func transfer(t require.TestingT, from, to *Mirror, complete bool) (Batch, bool) {
-	revision, _ := to.Revision()
-	b, ok := from.EncodedSince(revision, to.Held(), complete)
+	held, _ := to.Position()
+	b, ok := from.EncodedSince(held, to.Held(), complete)
 	if !ok {
 		return b, false
 	}
@@ -32,7 +32,7 @@
 }
 
 func valueOf(t require.TestingT, m *Mirror) []byte {
-	for _, i := range m.Since(0).Items {
+	for _, i := range m.Since(Position{}).Items {
 		if i.Key == "large" {
 			return i.Value
 		}
@@ -72,7 +72,7 @@
 		reader.Apply(Batch{Items: []Item{largeItem(revision)}, Revision: revision}, start)
 	}
 	router.Apply(Batch{Items: []Item{largeItem(1)}, Revision: 1}, start)
-	b, ok := reader.EncodedSince(1, map[string]int64{"large": 2}, false)
+	b, ok := reader.EncodedSince(Position{Revision: 1}, map[string]int64{"large": 2}, false)
 	require.True(t, ok)
 	_, err := router.Decode(b)
 	require.Error(t, err)
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -29,11 +29,14 @@
 // changes after the requested revision.
 var ErrCompacted = errors.New("the store has compacted its history after the revision")
 
+// errRestored means that the store has been restored from a copy.
+var errRestored = errors.New("the store has been restored from a copy")
+
 // Store is the platform's metadata store. Its calls end by themselves if the
 // store stops sending.
 type Store interface {
-	// Snapshot returns all items. The revision of the batch is the one at which the
-	// first item was read.
+	// Snapshot returns all items, read in one era. The revision of the batch is the
+	// one at which the first item was read.
 	Snapshot(ctx context.Context) (Batch, error)
 	// Watch returns the changes after the revision as soon as there are any, or an
 	// empty batch after the wait.
@@ -53,7 +56,8 @@
 
 	// storeLost is true while the store does not answer.
 	storeLost bool
-	// snapshotDue is true if the store has compacted changes that the mirror lacks.
+	// snapshotDue is true if the store has compacted changes that the mirror lacks, or
+	// has been restored from a copy.
 	snapshotDue bool
 }
 
@@ -83,8 +87,11 @@
 			continue
 		case errors.Is(err, ErrCompacted):
 			f.snapshotDue = true
-			revision, _ := f.mirror.Revision()
-			f.log.Emit(eventlog.StoreHistoryGone).Int64("after", revision).Send()
+			held, _ := f.mirror.Position()
+			f.log.Emit(eventlog.StoreHistoryGone).Int64("era", held.Era).Int64("after", held.Revision).Send()
+			continue
+		case errors.Is(err, errRestored):
+			f.snapshotDue = true
 			continue
 		}
 		f.noteFailure(err, f.clock().Sub(start))
@@ -94,33 +101,41 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	revision, _ := f.mirror.Revision()
-	if f.snapshotDue || revision == 0 {
-		return f.snapshot(ctx)
+	held, _ := f.mirror.Position()
+	if f.snapshotDue || held.Revision == 0 {
+		return f.snapshot(ctx, held)
 	}
-	return f.watch(ctx, revision)
+	return f.watch(ctx, held)
 }
 
-func (f *Follower) snapshot(ctx context.Context) error {
+func (f *Follower) snapshot(ctx context.Context, held Position) error {
 	batch, err := f.store.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
+	if batch.Era < held.Era {
+		return errors.Newf("store answered in era %d, but era %d is known", batch.Era, held.Era)
+	}
 	f.noteSuccess()
+	f.noteEra(batch, held)
 	batch.Source = StoreSource
-	held, _ := f.mirror.Revision()
 	changed := f.mirror.Apply(batch, f.clock())
 	f.snapshotDue = false
 	f.log.Emit(eventlog.StoreReadCompletely).Int64("era", batch.Era).Int64("revision", batch.Revision).
-		Int64("held_revision", held).Int("items", len(batch.Items)).Int("changed", changed).Send()
+		Int64("held_revision", held.Revision).Int("items", len(batch.Items)).Int("changed", changed).Send()
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, after int64) error {
-	batch, err := f.store.Watch(ctx, after, watchWait)
+// watch applies the changes after the position. Changes of another era do not follow
+// on it.
+func (f *Follower) watch(ctx context.Context, held Position) error {
+	batch, err := f.store.Watch(ctx, held.Revision, watchWait)
 	if err != nil {
 		return err
 	}
+	if batch.Era != held.Era {
+		return errRestored
+	}
 	f.noteSuccess()
 	batch.Source = StoreSource
 	f.mirror.Apply(batch, f.clock())
@@ -130,6 +145,15 @@
 	return nil
 }
 
+// noteEra logs that the store has been restored from a copy.
+func (f *Follower) noteEra(b Batch, held Position) {
+	if held.Revision == 0 || b.Era == held.Era {
+		return
+	}
+	f.log.Emit(eventlog.StoreRestored).Int64("era", b.Era).Int64("revision", b.Revision).
+		Int64("held_era", held.Era).Int64("held_revision", held.Revision).Send()
+}
+
 func (f *Follower) noteSuccess() {
 	now := f.clock()
 	f.mirror.RecordContact(now)
@@ -147,6 +171,6 @@
 		return
 	}
 	f.storeLost = true
-	revision, _ := f.mirror.Revision()
-	f.log.Emit(eventlog.StoreUnreachable).Int64("held_revision", revision).Dur("elapsed", elapsed).Err(err).Send()
+	held, _ := f.mirror.Position()
+	f.log.Emit(eventlog.StoreUnreachable).Int64("held_era", held.Era).Int64("held_revision", held.Revision).Dur("elapsed", elapsed).Err(err).Send()
 }
--- a/internal/process/mirror/follower_test.go
+++ b/internal/process/mirror/follower_test.go
@@ -72,7 +72,7 @@
 
 func has(m *Mirror, key string) func() bool {
 	return func() bool {
-		for _, i := range m.Since(0).Items {
+		for _, i := range m.Since(Position{}).Items {
 			if i.Key == key {
 				return true
 			}
--- a/internal/process/mirror/item.go
+++ b/internal/process/mirror/item.go
@@ -22,14 +22,29 @@
 	Difference []byte `json:"difference"`
 }
 
+// Position is a state of the store: a revision within an era.
+type Position struct {
+	// Era counts how often the store has been restored from a copy, 0 if unknown. A
+	// restored store gives out revisions of the era before again.
+	Era      int64
+	Revision int64
+}
+
+// Before reports whether the position is earlier than the other one.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
 // StoreSource is the source of the batches that the store itself sent.
 const StoreSource = "store"
 
-// Batch is a set of items and the revision up to which it is complete.
+// Batch is a set of items and the position up to which it is complete.
 type Batch struct {
 	Items []Item `json:"items,omitempty"`
-	// Era counts how often the store has been restored from a copy, 0 if unknown.
-	// Revisions of different eras cannot be compared.
+	// Era and Revision are the position.
 	Era      int64 `json:"era,omitempty"`
 	Revision int64 `json:"revision"`
 	// Full is true if the batch holds every key that existed at Revision. A key
@@ -38,3 +53,6 @@
 	// Source is StoreSource, or the address of the router that sent the batch.
 	Source string `json:"-"`
 }
+
+// Position returns the position up to which the batch is complete.
+func (b Batch) Position() Position { return Position{b.Era, b.Revision} }
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"sync"
 	"time"
 )
@@ -17,6 +18,9 @@
 	// Unconfirmed is true for a deletion that was received while the store was
 	// unstable. The key may soon be written again.
 	Unconfirmed bool
+	// Restored is true if the item, or its absence, is that of the copy from which the
+	// store was restored. It may be older than what was known before.
+	Restored bool
 }
 
 // Mirror is the local replica. It is safe for concurrent use.
@@ -30,8 +34,8 @@
 	items map[string]Item
 	// lineages holds how the large values can be sent, by key.
 	lineages map[string]*lineage
-	// revision is the revision up to which the items are complete.
-	revision int64
+	// position is the position up to which the items are complete.
+	position Position
 	// compactedRevision is the lowest revision after which all deleted keys are
 	// still held.
 	compactedRevision int64
@@ -42,21 +46,46 @@
 	// unstableUntil is the time until which deletions are unconfirmed.
 	unstableUntil time.Time
 	synced        bool
-	// revisionChanged is closed and replaced whenever the revision increases.
-	revisionChanged chan struct{}
+	// positionChanged is closed and replaced whenever the position changes.
+	positionChanged chan struct{}
 }
 
 // New returns an empty mirror that calls onChange with the changes of each
 // batch.
 func New(onChange func(changes []Change, now time.Time)) *Mirror {
-	return &Mirror{onChange: onChange, items: make(map[string]Item), lineages: make(map[string]*lineage), revisionChanged: make(chan struct{})}
+	return &Mirror{onChange: onChange, items: make(map[string]Item), lineages: make(map[string]*lineage), positionChanged: make(chan struct{})}
 }
 
 // Apply stores the items of the batch that are newer than the ones held. It returns
-// the number of items that changed.
+// the number of items that changed. A batch of an earlier era changes nothing; the
+// first batch of a later era must be full and replaces all items.
 func (m *Mirror) Apply(b Batch, now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var changes []Change
+	switch {
+	case b.Era < m.position.Era || b.Era > m.position.Era && !b.Full:
+		return 0
+	case b.Era > m.position.Era && m.synced:
+		changes = m.restore(b, now)
+	default:
+		changes = m.update(b, now)
+	}
+	m.synced = true
+	if m.position.Before(b.Position()) {
+		m.position = b.Position()
+		close(m.positionChanged)
+		m.positionChanged = make(chan struct{})
+	}
+	m.purgeTombstones()
+	if len(changes) > 0 {
+		m.onChange(changes, now)
+	}
+	return len(changes)
+}
+
+// update stores the items of a batch of the era that the mirror holds.
+func (m *Mirror) update(b Batch, now time.Time) []Change {
 	var changes []Change
 	for _, item := range b.Items {
 		if known, ok := m.items[item.Key]; ok && known.Revision >= item.Revision {
@@ -67,17 +96,34 @@
 	if b.Full {
 		changes = append(changes, m.deleteAbsent(b, now)...)
 	}
-	m.synced = true
-	if b.Revision > m.revision {
-		m.revision = b.Revision
-		close(m.revisionChanged)
-		m.revisionChanged = make(chan struct{})
+	return changes
+}
+
+// restore replaces all items by those of the batch, which begins a new era. What was
+// written in the era before may be written again, so that deletions are unconfirmed
+// for a while.
+func (m *Mirror) restore(b Batch, now time.Time) []Change {
+	held := m.items
+	m.items, m.lineages, m.tombstones = make(map[string]Item), make(map[string]*lineage), 0
+	m.compactedRevision = b.Revision
+	m.extendUnstable(now.Add(unconfirmedPeriod))
+	var changes []Change
+	for _, item := range b.Items {
+		change := m.put(item, b.Source, now)
+		change.Restored = true
+		known, ok := held[item.Key]
+		delete(held, item.Key)
+		if !ok || known.Deleted != item.Deleted || !bytes.Equal(known.Value, item.Value) {
+			changes = append(changes, change)
+		}
 	}
-	m.purgeTombstones()
-	if len(changes) > 0 {
-		m.onChange(changes, now)
+	for key, item := range held {
+		if !item.Deleted {
+			absent := Item{Key: key, Revision: b.Revision, Deleted: true}
+			changes = append(changes, Change{Item: absent, Source: b.Source, Unconfirmed: true, Restored: true})
+		}
 	}
-	return len(changes)
+	return changes
 }
 
 func (m *Mirror) put(item Item, source string, now time.Time) Change {
@@ -121,37 +167,38 @@
 		}
 	}
 	m.tombstones = 0
-	m.compactedRevision = m.revision
+	m.compactedRevision = m.position.Revision
 }
 
-// Since returns the items that have changed after the revision, or a full batch
-// if deletions after the revision are no longer held.
-func (m *Mirror) Since(revision int64) Batch {
+// Since returns the items that have changed after the position, or a full batch
+// if it is of another era or deletions after it are no longer held.
+func (m *Mirror) Since(after Position) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.since(revision)
+	return m.since(after)
 }
 
 // since is Since with the lock held.
-func (m *Mirror) since(revision int64) Batch {
-	b := Batch{Revision: m.revision, Full: revision < m.compactedRevision || revision == 0}
+func (m *Mirror) since(after Position) Batch {
+	b := Batch{Era: m.position.Era, Revision: m.position.Revision}
+	b.Full = after.Era != m.position.Era || after.Revision < m.compactedRevision || after.Revision == 0
 	for _, item := range m.items {
 		if b.Full && item.Deleted {
 			continue
 		}
-		if b.Full || item.Revision > revision {
+		if b.Full || item.Revision > after.Revision {
 			b.Items = append(b.Items, item)
 		}
 	}
 	return b
 }
 
-// Revision returns the revision up to which the items are complete, and a
-// channel that is closed when it increases.
-func (m *Mirror) Revision() (int64, <-chan struct{}) {
+// Position returns the position up to which the items are complete, and a channel
+// that is closed when it changes.
+func (m *Mirror) Position() (Position, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision, m.revisionChanged
+	return m.position, m.positionChanged
 }
 
 // HasSynced reports whether a batch has been applied.
@@ -186,6 +233,11 @@
 func (m *Mirror) MarkUnstable(until time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.extendUnstable(until)
+}
+
+// extendUnstable is MarkUnstable with the lock held.
+func (m *Mirror) extendUnstable(until time.Time) {
 	if until.After(m.unstableUntil) {
 		m.unstableUntil = until
 	}
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -37,8 +37,8 @@
 	m.Apply(Batch{Items: []Item{put("a", 3)}, Revision: 4}, start)
 	m.Apply(Batch{Items: []Item{{Key: "a", Revision: 4, Deleted: true}}, Revision: 4}, start)
 	require.Len(t, r.changes, 1)
-	revision, _ := m.Revision()
-	require.EqualValues(t, 5, revision)
+	held, _ := m.Position()
+	require.EqualValues(t, 5, held.Revision)
 }
 
 // Guards against keeping keys that were deleted in the history that was lost.
@@ -51,7 +51,7 @@
 	last := r.changes[len(r.changes)-1]
 	require.Equal(t, "a", last.Item.Key)
 	require.True(t, last.Item.Deleted)
-	require.Equal(t, []string{"b", "c"}, keys(m.Since(0)), "a key that is newer than the batch is kept")
+	require.Equal(t, []string{"b", "c"}, keys(m.Since(Position{})), "a key that is newer than the batch is kept")
 }
 
 // Guards against peers that miss a deletion.
@@ -59,7 +59,7 @@
 	m := New((&recorder{}).add)
 	m.Apply(Batch{Items: []Item{put("a", 1), put("b", 2)}, Revision: 2}, start)
 	m.Apply(Batch{Items: []Item{{Key: "a", Revision: 3, Deleted: true}}, Revision: 3}, start)
-	delta := m.Since(2)
+	delta := m.Since(Position{Revision: 2})
 	require.False(t, delta.Full)
 	require.Equal(t, []string{"a"}, keys(delta))
 	require.True(t, delta.Items[0].Deleted)
@@ -75,8 +75,8 @@
 		revision++
 		m.Apply(Batch{Items: []Item{{Key: time.Duration(revision).String(), Revision: revision, Deleted: true}}, Revision: revision}, start)
 	}
-	require.True(t, m.Since(5).Full)
-	require.Equal(t, []string{"kept"}, keys(m.Since(5)))
+	require.True(t, m.Since(Position{Revision: 5}).Full)
+	require.Equal(t, []string{"kept"}, keys(m.Since(Position{Revision: 5})))
 }
 
 // Guards against dropping upstreams that the store lost only because it was
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -19,7 +19,8 @@
 type message struct {
 	// Address is the sender's peer address.
 	Address string `json:"address"`
-	// Revision is the revision of the sender's mirror.
+	// Era and Revision are the position of the sender's mirror.
+	Era      int64 `json:"era,omitempty"`
 	Revision int64 `json:"revision"`
 	// Heartbeat increases with each message of the sender, 0 if it sends none.
 	Heartbeat uint64 `json:"heartbeat,omitempty"`
@@ -63,6 +64,11 @@
 	Batch *mirror.Batch `json:"batch,omitempty"`
 }
 
+// position returns the position of the sender's mirror.
+func (m message) position() mirror.Position {
+	return mirror.Position{Era: m.Era, Revision: m.Revision}
+}
+
 // exchange sends this router's state to the peer and applies the items of the
 // response that this router lacks. It reports whether the peer answered and this
 // router now has the peer's items.
@@ -77,8 +83,8 @@
 }
 
 func (p *Peers) exchangeItems(ctx context.Context, address string, wait time.Duration, complete bool) bool {
-	revision, _ := p.mirror.Revision()
-	request := p.message(revision)
+	held, _ := p.mirror.Position()
+	request := p.message(held)
 	request.WaitMillis = wait.Milliseconds()
 	if wait == 0 {
 		p.addNames(&request)
@@ -92,28 +98,27 @@
 	start := p.clock()
 	response, err := p.call(ctx, address, request, wait)
 	if err == nil {
-		err = p.applyBatch(address, response.Batch, revision)
+		err = p.applyBatch(address, response.Batch, held)
 	}
 	elapsed := p.clock().Sub(start)
 	if err != nil {
 		p.metrics.failed.Inc(1)
-		p.failures.noteFailure(address, revision, elapsed, err)
+		p.failures.noteFailure(address, held, elapsed, err)
 		return false
 	}
 	p.metrics.succeeded.Inc(1)
 	p.metrics.elapsed.RecordDuration(elapsed)
-	p.failures.noteSuccess(address, response.Revision, elapsed)
+	p.failures.noteSuccess(address, response.position(), elapsed)
 	p.recordNewsSent(request, address, had)
 	p.recordSender(address, response)
 	p.recordStore(response, start)
-	revision, _ = p.mirror.Revision()
-	return revision >= response.Revision
+	return !p.isBehind(response.position())
 }
 
 // applyBatch applies the batch of a peer, nil for none. After an error, large
 // values are requested without reference to the ones held.
-func (p *Peers) applyBatch(address string, batch *mirror.Batch, revision int64) error {
-	if batch == nil || batch.Revision <= revision {
+func (p *Peers) applyBatch(address string, batch *mirror.Batch, held mirror.Position) error {
+	if batch == nil || !held.Before(batch.Position()) {
 		return nil
 	}
 	decoded, err := p.mirror.Decode(*batch)
@@ -146,14 +151,20 @@
 		p.mirror.MarkUnstable(answered.Add(time.Duration(m.UnstableMillis) * time.Millisecond))
 	}
 	if m.ContactAgeMillis >= 0 {
-		p.recordStoreContact(m.Revision, answered.Add(-time.Duration(m.ContactAgeMillis)*time.Millisecond))
+		p.recordStoreContact(m.position(), answered.Add(-time.Duration(m.ContactAgeMillis)*time.Millisecond))
 	}
 }
 
-// recordStoreContact records when the store last answered the peer with the
-// revision, if this router has all items of that revision.
-func (p *Peers) recordStoreContact(peerRevision int64, contact time.Time) {
-	if revision, _ := p.mirror.Revision(); revision < peerRevision {
+// isBehind reports whether this router lacks items of the position.
+func (p *Peers) isBehind(position mirror.Position) bool {
+	held, _ := p.mirror.Position()
+	return held.Before(position)
+}
+
+// recordStoreContact records when the store last answered the peer at the position,
+// if this router has the items of just that era and all up to that revision.
+func (p *Peers) recordStoreContact(peer mirror.Position, contact time.Time) {
+	if held, _ := p.mirror.Position(); held.Era != peer.Era || held.Before(peer) {
 		return
 	}
 	p.mu.Lock()
@@ -164,9 +175,9 @@
 }
 
 // message returns a message with this router's state.
-func (p *Peers) message(revision int64) message {
+func (p *Peers) message(held mirror.Position) message {
 	age := p.contactAge()
-	m := message{Address: p.self, Heartbeat: p.nextHeartbeat(), Revision: revision, LinkMbps: p.linkMbps, Readers: p.readers(), ContactAgeMillis: age.Milliseconds()}
+	m := message{Address: p.self, Heartbeat: p.nextHeartbeat(), Era: held.Era, Revision: held.Revision, LinkMbps: p.linkMbps, Readers: p.readers(), ContactAgeMillis: age.Milliseconds()}
 	if age < 0 {
 		m.ContactAgeMillis = -1
 	}
@@ -215,14 +226,14 @@
 	p.awaitChange(r.Context(), m)
 	batch, ok := p.batchFor(m)
 	held := p.clock().Sub(received)
-	reply := p.message(batch.Revision)
+	reply := p.message(batch.Position())
 	reply.HeldMillis = held.Milliseconds()
 	p.addNews(&reply, m.Address, m.digests())
 	p.recordNewsSent(reply, m.Address, m.digests())
 	if m.WaitMillis == 0 {
 		p.addNames(&reply)
 	}
-	if ok && batch.Revision > m.Revision && p.mirror.HasSynced() {
+	if ok && m.position().Before(batch.Position()) && p.mirror.HasSynced() {
 		reply.Batch = &batch
 	}
 	body, err := json.Marshal(reply)
@@ -238,15 +249,15 @@
 // may receive them.
 func (p *Peers) batchFor(m message) (mirror.Batch, bool) {
 	if !m.Encoded {
-		return p.mirror.Since(m.Revision), true
+		return p.mirror.Since(m.position()), true
 	}
-	return p.mirror.EncodedSince(m.Revision, m.Held, m.Complete)
+	return p.mirror.EncodedSince(m.position(), m.Held, m.Complete)
 }
 
 // noteAhead records that the sender of the message has newer items, unless
 // another such peer is to be asked already.
 func (p *Peers) noteAhead(m message) {
-	if revision, _ := p.mirror.Revision(); m.Revision <= revision {
+	if !p.isBehind(m.position()) {
 		return
 	}
 	select {
@@ -258,9 +269,9 @@
 // awaitChange waits until this router has a newer revision than the sender of
 // the message, but no longer than the message allows.
 func (p *Peers) awaitChange(ctx context.Context, m message) {
-	revision, changed := p.mirror.Revision()
+	held, changed := p.mirror.Position()
 	wait := min(time.Duration(m.WaitMillis)*time.Millisecond, longPollWait)
-	if wait <= 0 || revision > m.Revision {
+	if wait <= 0 || m.position().Before(held) {
 		return
 	}
 	timer := time.NewTimer(wait)
--- a/internal/process/peers/failures.go
+++ b/internal/process/peers/failures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/mirror"
 )
 
 // failures logs the first of a series of failed exchanges with a peer and the
@@ -22,26 +23,26 @@
 }
 
 // noteFailure records an exchange that failed after the elapsed time.
-func (f *failures) noteFailure(address string, revision int64, elapsed time.Duration, err error) {
+func (f *failures) noteFailure(address string, held mirror.Position, elapsed time.Duration, err error) {
 	f.mu.Lock()
 	f.counts[address]++
 	first := f.counts[address] == 1
 	f.mu.Unlock()
 	if first {
-		f.log.Emit(eventlog.ItemsNotReceived).Str("source", address).Int64("held_revision", revision).
+		f.log.Emit(eventlog.ItemsNotReceived).Str("source", address).Int64("held_era", held.Era).Int64("held_revision", held.Revision).
 			Dur("elapsed", elapsed).Err(err).Send()
 	}
 }
 
 // noteSuccess records an exchange that succeeded.
-func (f *failures) noteSuccess(address string, revision int64, elapsed time.Duration) {
+func (f *failures) noteSuccess(address string, position mirror.Position, elapsed time.Duration) {
 	f.mu.Lock()
 	count := f.counts[address]
 	delete(f.counts, address)
 	f.mu.Unlock()
 	if count > 0 {
 		f.log.Emit(eventlog.ItemsReceivedAgain).Str("source", address).Int("failures", count).
-			Int64("revision", revision).Dur("elapsed", elapsed).Send()
+			Int64("era", position.Era).Int64("revision", position.Revision).Dur("elapsed", elapsed).Send()
 	}
 }
 
--- a/internal/process/peers/news_test.go
+++ b/internal/process/peers/news_test.go
@@ -58,7 +58,7 @@
 	}
 	a, b := newRouter("a:1"), newRouter("b:1")
 	send := func(from, to *Peers) message {
-		m := from.message(0)
+		m := from.message(mirror.Position{})
 		from.addNews(&m, to.self, from.peer(to.self).digests())
 		from.recordNewsSent(m, to.self, from.peer(to.self).digests())
 		to.recordSender(from.self, m)
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -123,7 +123,7 @@
 	reader().mirror.Apply(item(7), time.Now())
 	require.Eventually(t, func() bool {
 		for _, n := range nodes {
-			if revision, _ := n.mirror.Revision(); revision != 7 {
+			if held, _ := n.mirror.Position(); held.Revision != 7 {
 				return false
 			}
 		}
@@ -140,7 +140,7 @@
 	})
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
-	p.recordStoreContact(1, time.Now())
+	p.recordStoreContact(mirror.Position{Revision: 1}, time.Now())
 	require.False(t, p.storeLost())
 	p.clock = func() time.Time { return time.Now().Add(storeContactTimeout + time.Millisecond) }
 	require.True(t, p.storeLost())
@@ -172,7 +172,7 @@
 		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
 		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
 	})
-	p.recordStoreContact(5, time.Now())
+	p.recordStoreContact(mirror.Position{Revision: 5}, time.Now())
 	require.True(t, p.storeLost())
 }
 
@@ -183,7 +183,7 @@
 		*now = now.Add(gossipInterval)
 		for i, r := range routers {
 			other := routers[(i+1+rand.IntN(len(routers)-1))%len(routers)]
-			request, reply := r.message(0), other.message(0)
+			request, reply := r.message(mirror.Position{}), other.message(mirror.Position{})
 			r.addNames(&request)
 			other.recordSender(r.self, request)
 			other.addNames(&reply)
@@ -207,7 +207,7 @@
 		now = now.Add(peerTimeout / 370)
 	}
 	gossip(routers, &now, 20)
-	m := routers[0].message(0)
+	m := routers[0].message(mirror.Position{})
 	routers[0].addNames(&m)
 	encoded, err := json.Marshal(m)
 	require.NoError(t, err)
@@ -235,7 +235,7 @@
 	for round := range 20 {
 		asking, asked := routers[round%2], routers[(round+1)%2]
 		start := now
-		reply := asked.message(0)
+		reply := asked.message(mirror.Position{})
 		now = now.Add(delay)
 		asking.recordStore(reply, start)
 	}
@@ -256,3 +256,28 @@
 	p.recordContact("seed:1", 1)
 	require.Equal(t, gossipInterval, p.interval())
 }
+
+// Guards against routers that take the state from before the store was restored for the newer one, because its revision is higher.
+func TestRestoredStateReachesRoutersWithAHigherRevision(t *testing.T) {
+	nodes := startNodes(t, 4)
+	simulateStore(t, nodes)
+	batch := func(era, revision int64, value string) mirror.Batch {
+		items := []mirror.Item{{Key: "config", Value: []byte(value), Revision: revision}}
+		return mirror.Batch{Era: era, Items: items, Revision: revision, Full: true}
+	}
+	nodes[1].mirror.Apply(batch(1, 22, "earlier"), time.Now())
+	holdsAll := func(value string) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				items := n.mirror.Since(mirror.Position{}).Items
+				if len(items) != 1 || string(items[0].Value) != value {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, holdsAll("earlier"), 10*time.Second, 5*time.Millisecond)
+	nodes[2].mirror.Apply(batch(2, 21, "restored"), time.Now())
+	require.Eventually(t, holdsAll("restored"), 3*time.Second, 5*time.Millisecond)
+}
