--- a/internal/process/ratepermit/exchange.go
+++ b/internal/process/ratepermit/exchange.go
@@ -37,11 +37,11 @@
 // permitResponse is the issuer's decision.
 type permitResponse struct {
 	Granted bool `json:"granted"`
-	// Limit is the limit on which the decision is based. It may be later than the
-	// one in the request.
-	Limit         statedlimit.Limit `json:"limit"`
-	WaitMillis    int64             `json:"wait_ms,omitempty"`
-	RetryInMillis int64             `json:"retry_in_ms,omitempty"`
+	// Limit is the limit on which the decision is based, nil if it is that of the
+	// request.
+	Limit         *statedlimit.Limit `json:"limit,omitempty"`
+	WaitMillis    int64              `json:"wait_ms,omitempty"`
+	RetryInMillis int64              `json:"retry_in_ms,omitempty"`
 }
 
 // Path returns the URL path at which ServeHTTP must be served.
@@ -54,9 +54,12 @@
 	if err != nil {
 		return Decision{}, err
 	}
-	p.limits.Merge([]statedlimit.Limit{response.Limit}, p.clock())
+	if response.Limit != nil {
+		limit = *response.Limit
+		p.limits.Merge([]statedlimit.Limit{limit}, p.clock())
+	}
 	return Decision{
-		Granted: response.Granted, Limit: response.Limit,
+		Granted: response.Granted, Limit: limit,
 		Wait:    time.Duration(response.WaitMillis) * time.Millisecond,
 		RetryIn: time.Duration(response.RetryInMillis) * time.Millisecond,
 	}, nil
@@ -117,9 +120,11 @@
 		limit = request.Limit
 	}
 	d := p.issue(limit, time.Duration(request.MaxWaitMillis)*time.Millisecond, now)
-	body, err := json.Marshal(permitResponse{
-		Granted: d.Granted, Limit: d.Limit, WaitMillis: roundUp(d.Wait), RetryInMillis: roundUp(d.RetryIn),
-	})
+	response := permitResponse{Granted: d.Granted, WaitMillis: roundUp(d.Wait), RetryInMillis: roundUp(d.RetryIn)}
+	if d.Limit != request.Limit {
+		response.Limit = &d.Limit
+	}
+	body, err := json.Marshal(response)
 	if err != nil {
 		http.Error(w, "the permit cannot be encoded", http.StatusInternalServerError)
 		return
--- a/internal/process/ratepermit/permits.go
+++ b/internal/process/ratepermit/permits.go
@@ -22,7 +22,7 @@
 	minPerSecond = 0.25
 	// maxBackoff bounds the time in which a refused router does not ask the same
 	// issuer again.
-	maxBackoff = 3 * time.Second
+	maxBackoff = 30 * time.Second
 	// failureBackoff is the time in which an issuer that did not answer is not asked.
 	failureBackoff = time.Second
 	// maxEntries is the number of upstreams, and of backoffs, above which those that
@@ -94,10 +94,10 @@
 	usedAt   time.Time
 }
 
-// source is an issuer of permits for an upstream.
+// source is an issuer of permits under one version of an upstream's limit.
 type source struct {
-	upstream statedlimit.Upstream
-	issuer   string
+	limit  statedlimit.Limit
+	issuer string
 }
 
 // New returns Permits that have issued nothing.
@@ -120,7 +120,7 @@
 	issuers := p.peers.Ranked(u.ID, issuerCount)
 	rand.Shuffle(len(issuers), func(i, j int) { issuers[i], issuers[j] = issuers[j], issuers[i] })
 	for _, issuer := range issuers {
-		if backoff := p.backoff(source{u, issuer}); backoff > maxWait {
+		if backoff := p.backoff(source{limit, issuer}); backoff > maxWait {
 			refused.RetryIn = min(refused.RetryIn, backoff)
 			continue
 		}
@@ -147,7 +147,7 @@
 		return d
 	}
 	if !d.Granted {
-		p.setBackoff(source{limit.Upstream, issuer}, d.RetryIn)
+		p.setBackoff(source{limit, issuer}, d.RetryIn)
 	}
 	return d
 }
--- a/internal/request/forwarding/limit.go
+++ b/internal/request/forwarding/limit.go
@@ -17,6 +17,9 @@
 	// caller still waits.
 	maxPermitWait   = 300 * time.Millisecond
 	permitWaitShare = 0.25
+	// maxPermitRetryAfter bounds the delay after which a caller may retry, who may then
+	// reach another router.
+	maxPermitRetryAfter = 2 * time.Second
 )
 
 // observeLimit records what the answer says of the upstream's rate limit. Only
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -69,7 +69,7 @@
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout_not_run", retryAfter: busyRetryAfter})
 	case c.permitIn > 0:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "upstream_limits", retryAfter: max(busyRetryAfter, c.permitIn)})
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "upstream_limits", retryAfter: min(maxPermitRetryAfter, max(busyRetryAfter, c.permitIn))})
 	default:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", retryAfter: busyRetryAfter})
 	}
