--- /dev/null
+++ b/internal/process/directory/list.go
@@ -0,0 +1,126 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+)
+
+// Entry is the entry of an upstream in the instance list.
+type Entry struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// ConcurrencyLimit is the number of requests that the upstream holds at once.
+	ConcurrencyLimit int
+	// Leaving is true if the upstream is about to stop; it gets no new work.
+	Leaving bool
+	// ColdDuration is how long the upstream stays cold, from the time of the entry.
+	ColdDuration time.Duration
+	// Incarnation identifies the incarnation of the upstream, 0 if unknown. A later
+	// incarnation has a higher value.
+	Incarnation int64
+	// Sequence increases with each entry of an incarnation.
+	Sequence int64
+}
+
+// Upsert adds or updates the upstream of an entry of the instance list.
+func (d *Directory) Upsert(e Entry, now time.Time) { d.upsert(e, time.Time{}, now) }
+
+// Restore adds or updates the upstream of an entry of an instance list that was
+// restored from a copy. An entry that is older than the one known is ignored. If the
+// upstream is known to be leaving or removed, it gets no new work for a while, in
+// which it writes its entry again, and is then used if the list still contains it.
+func (d *Directory) Restore(e Entry, now time.Time) {
+	d.mu.Lock()
+	u := d.upstreams[e.ID]
+	outdated := u != nil && u.knowsNewer(e, now)
+	ignored := outdated && (e.Incarnation < u.entry.Incarnation || !u.entry.Leaving && u.removedAt.IsZero())
+	distrusted := outdated && (u.entry.Leaving || u.isRemoved(now))
+	d.mu.Unlock()
+	if outdated {
+		d.log.Emit(eventlog.ItemOutdated).Str("upstream", e.ID).Int64("incarnation", e.Incarnation).Int64("sequence", e.Sequence).
+			Bool("ignored", ignored).Bool("distrusted", distrusted).Send()
+	}
+	switch {
+	case ignored:
+	case distrusted:
+		d.upsert(e, now.Add(restoredDistrust), now)
+	default:
+		d.upsert(e, time.Time{}, now)
+	}
+}
+
+func (d *Directory) upsert(e Entry, distrustedUntil, now time.Time) {
+	d.mu.Lock()
+	u := d.upstreams[e.ID]
+	if u == nil || (u.entry.Incarnation != e.Incarnation && e.Incarnation != 0) || u.entry.Address != e.Address {
+		u = &upstream{entry: e}
+		d.upstreams[e.ID] = u
+		d.log.Emit(eventlog.UpstreamListed).Str("upstream", e.ID).Str("service", e.Service).
+			Str("address", e.Address).Str("data_centre", e.DataCentre).Int64("born", e.Incarnation).Send()
+	}
+	wasLeaving := u.isLeaving(now)
+	u.entry = e
+	u.removedAt = time.Time{}
+	u.distrustedUntil = distrustedUntil
+	d.markSuperseded(u, now)
+	if e.ColdDuration > 0 {
+		u.coldUntil = now.Add(e.ColdDuration)
+	}
+	startedLeaving := !wasLeaving && u.isLeaving(now)
+	d.mu.Unlock()
+	if startedLeaving {
+		d.notifyDeparture(e.ID, "list")
+	}
+}
+
+// markSuperseded marks the earlier of two incarnations with the same address as
+// removed. The list may still name an earlier incarnation after a restart.
+func (d *Directory) markSuperseded(u *upstream, now time.Time) {
+	if u.entry.Incarnation == 0 {
+		return
+	}
+	for _, other := range d.upstreams {
+		if other == u || other.entry.Address != u.entry.Address || other.entry.Incarnation == 0 {
+			continue
+		}
+		earlier := other
+		if u.entry.Incarnation < other.entry.Incarnation {
+			earlier = u
+		}
+		if earlier.removedAt.IsZero() {
+			earlier.removedAt = now
+			d.log.Emit(eventlog.UpstreamSuperseded).Str("upstream", earlier.entry.ID).Str("address", earlier.entry.Address).
+				Int64("born", earlier.entry.Incarnation).Send()
+		}
+	}
+}
+
+// MarkRemoved records that the list no longer names the upstream, which then
+// counts as removed: at once, or after unconfirmedRetention if the list was
+// unstable.
+func (d *Directory) MarkRemoved(id string, unconfirmed bool, now time.Time) {
+	d.mu.Lock()
+	u := d.upstreams[id]
+	if u == nil {
+		d.mu.Unlock()
+		return
+	}
+	wasLeaving := u.isLeaving(now)
+	u.removedAt = now
+	if unconfirmed {
+		u.removedAt = now.Add(unconfirmedRetention)
+	}
+	d.mu.Unlock()
+	d.log.Emit(eventlog.UpstreamGone).Str("upstream", id).Bool("unconfirmed", unconfirmed).Send()
+	if !wasLeaving && !unconfirmed {
+		d.notifyDeparture(id, "unlisted")
+	}
+}
+
+func (d *Directory) notifyDeparture(id, source string) {
+	d.log.Emit(eventlog.UpstreamLeaving).Str("upstream", id).Str("source", source).Send()
+	d.onDeparture(id)
+}
