--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -7,9 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
@@ -194,23 +191,10 @@
 
 // call sends the message to the peer, which may hold it for the given time.
 func (p *Peers) call(ctx context.Context, address string, m message, hold time.Duration) (message, error) {
-	body, err := json.Marshal(m)
-	if err != nil {
-		return message{}, errors.Wrap(err, "encode exchange")
-	}
-	response, err := p.fetcher.Fetch(ctx, address, &upstreamclient.Request{
-		Method: http.MethodPost, Target: exchangePath, Host: address, Body: body,
-		Header: http.Header{"Content-Type": {"application/json"}},
-	}, hold)
-	if err != nil {
-		return message{}, err
-	}
-	p.metrics.bytesReceived.Inc(int64(len(response.Body)))
-	if response.Status != http.StatusOK {
-		return message{}, errors.Newf("peer %s answered with status %d", address, response.Status)
-	}
 	var reply message
-	return reply, errors.Wrapf(json.Unmarshal(response.Body, &reply), "decode response of peer %s", address)
+	size, err := p.fetcher.PostJSON(ctx, address, exchangePath, m, &reply, hold)
+	p.metrics.bytesReceived.Inc(int64(size))
+	return reply, err
 }
 
 // ServeHTTP handles an exchange that another router has started.
--- a/internal/process/ratepermit/exchange.go
+++ b/internal/process/ratepermit/exchange.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
@@ -49,7 +47,9 @@
 
 // fetch asks another router for a permit.
 func (p *Permits) fetch(ctx context.Context, issuer string, limit statedlimit.Limit, maxWait time.Duration) (Decision, error) {
-	response, err := p.call(ctx, issuer, permitRequest{Limit: limit, MaxWaitMillis: maxWait.Milliseconds()})
+	request := permitRequest{Limit: limit, MaxWaitMillis: maxWait.Milliseconds()}
+	var response permitResponse
+	_, err := p.fetcher.PostJSON(ctx, issuer, permitPath, request, &response, 0)
 	p.noteAnswer(issuer, limit, err)
 	if err != nil {
 		return Decision{}, err
@@ -65,25 +65,6 @@
 	}, nil
 }
 
-func (p *Permits) call(ctx context.Context, issuer string, request permitRequest) (permitResponse, error) {
-	body, err := json.Marshal(request)
-	if err != nil {
-		return permitResponse{}, errors.Wrap(err, "encode request for a permit")
-	}
-	reply, err := p.fetcher.Fetch(ctx, issuer, &upstreamclient.Request{
-		Method: http.MethodPost, Target: permitPath, Host: issuer, Body: body,
-		Header: http.Header{"Content-Type": {"application/json"}},
-	}, 0)
-	if err != nil {
-		return permitResponse{}, err
-	}
-	if reply.Status != http.StatusOK {
-		return permitResponse{}, errors.Newf("router %s answered a request for a permit with status %d", issuer, reply.Status)
-	}
-	var response permitResponse
-	return response, errors.Wrapf(json.Unmarshal(reply.Body, &response), "decode permit of router %s", issuer)
-}
-
 // noteAnswer logs when an issuer no longer answers, or answers again.
 func (p *Permits) noteAnswer(issuer string, limit statedlimit.Limit, err error) {
 	p.mu.Lock()
