Take limits of an upstream that differ a little for the same

Found by reading: a limit that varies with each answer would be a change each time, so that routers would exchange messages every 0.15 s for as long as it is stated.

--- a/internal/process/statedlimit/limits.go
+++ b/internal/process/statedlimit/limits.go
@@ -1,10 +1,16 @@
 package statedlimit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
+// toleratedDeviation is the difference between two limits, as a share of the one in
+// force, up to which they count as the same. A limit that varies a little with each
+// answer is not sent to all routers each time.
+const toleratedDeviation = 0.05
+
 // Upstream identifies one incarnation of an upstream.
 type Upstream struct {
 	ID string `json:"id"`
@@ -75,18 +81,21 @@
 	case s.SentAt.Before(r.statedAt):
 		return
 	}
-	next := Limit{Upstream: s.Upstream, Limited: s.Limited, PerSecond: s.PerSecond, Version: r.Version}
-	changed := next != r.Limit
+	changed := !r.isStatedBy(s)
 	if changed {
-		next.Version++
+		r.Limit = Limit{Upstream: s.Upstream, Limited: s.Limited, PerSecond: s.PerSecond, Version: r.Version + 1}
 	}
-	r.Limit = next
 	l.records[s.Upstream] = r
 	if changed {
-		l.noteChange(next, now)
+		l.noteChange(r.Limit, now)
 	}
 }
 
+// isStatedBy reports whether the statement is about this limit.
+func (l Limit) isStatedBy(s Statement) bool {
+	return l.Limited == s.Limited && math.Abs(l.PerSecond-s.PerSecond) <= toleratedDeviation*l.PerSecond
+}
+
 func (l *Limits) noteChange(limit Limit, now time.Time) {
 	l.changedAt = now
 	l.onChange(limit)
--- a/internal/process/statedlimit/limits_test.go
+++ b/internal/process/statedlimit/limits_test.go
@@ -90,3 +90,21 @@
 	require.Empty(t, shared)
 	require.Zero(t, digest)
 }
+
+// Guards against sending a limit to all routers with each answer because it varies a little, and against drifting from it.
+func TestSmallDeviationsAreNoChange(t *testing.T) {
+	changes := 0
+	l := New(all, func(Limit) { changes++ })
+	state := func(perSecond float64) float64 {
+		l.Observe(Statement{Upstream: upstream, Limited: true, PerSecond: perSecond, SentAt: at(0)}, at(0))
+		return l.Limit(upstream).PerSecond
+	}
+	for _, stated := range []float64{4, 4.1, 3.9, 4.15, 4} {
+		require.InDelta(t, 4, state(stated), 0)
+	}
+	require.Equal(t, 1, changes)
+	require.InDelta(t, 4.3, state(4.3), 0)
+	require.InDelta(t, 0, state(0), 0)
+	require.InDelta(t, 0.1, state(0.1), 0)
+	require.Equal(t, 4, changes)
+}
