Tell a caller that leaves from an issuer that does not answer

Found by reading: a caller that left while its request waited for a permit ended the call, and permits_lost was logged for an issuer that works. Own test failed before.

--- a/internal/process/ratepermit/exchange.go
+++ b/internal/process/ratepermit/exchange.go
@@ -50,7 +50,9 @@
 	request := permitRequest{Limit: limit, MaxWaitMillis: maxWait.Milliseconds()}
 	var response permitResponse
 	_, err := p.fetcher.PostJSON(ctx, issuer, permitPath, request, &response, 0)
-	p.noteAnswer(issuer, limit, err)
+	if ctx.Err() == nil {
+		p.noteAnswer(issuer, limit, err)
+	}
 	if err != nil {
 		return Decision{}, err
 	}
--- a/internal/process/ratepermit/permits_test.go
+++ b/internal/process/ratepermit/permits_test.go
@@ -1,8 +1,11 @@
 package ratepermit
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -10,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
@@ -134,3 +138,27 @@
 	require.Positive(t, d.RetryIn)
 	require.Less(t, time.Since(begin), 100*time.Millisecond)
 }
+
+// Guards against an issuer that counts as silent because a caller left while its request waited for the answer.
+func TestCallerThatLeavesSaysNothingOfTheIssuer(t *testing.T) {
+	asked := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices the end of the connection only after it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(asked)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	var log bytes.Buffer
+	p := newPermits("a", ranking{strings.TrimPrefix(server.URL, "http://")}, time.Now)
+	p.log = eventlog.New(&log, zerolog.InfoLevel, "test")
+	state(p, 1, time.Now())
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-asked
+		leave()
+	}()
+	require.False(t, p.Acquire(ctx, upstream, 0).Granted)
+	require.Empty(t, log.String())
+	require.Empty(t, p.backoffs)
+}
