--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -92,7 +92,7 @@
 		request.Held = p.mirror.Held()
 	}
 	had := p.peer(address).digests()
-	p.addNews(&request, address, had)
+	p.addShared(&request, address, had)
 	start := p.clock()
 	response, err := p.call(ctx, address, request, wait)
 	if err == nil {
@@ -107,7 +107,7 @@
 	p.metrics.succeeded.Inc(1)
 	p.metrics.elapsed.RecordDuration(elapsed)
 	p.failures.noteSuccess(address, response.position(), elapsed)
-	p.recordNewsSent(request, address, had)
+	p.recordSharedSent(request, address, had)
 	p.recordSender(address, response)
 	p.recordStore(response, start)
 	return !p.isBehind(response.position())
@@ -224,8 +224,8 @@
 	held := p.clock().Sub(received)
 	reply := p.message(batch.Position())
 	reply.HeldMillis = held.Milliseconds()
-	p.addNews(&reply, m.Address, m.digests())
-	p.recordNewsSent(reply, m.Address, m.digests())
+	p.addShared(&reply, m.Address, m.digests())
+	p.recordSharedSent(reply, m.Address, m.digests())
 	if m.WaitMillis == 0 {
 		p.addNames(&reply)
 	}
--- a/internal/process/peers/peer.go
+++ b/internal/process/peers/peer.go
@@ -26,7 +26,7 @@
 	// stated holds the digests in the peer's last message, evidenceSent and limitsSent
 	// what was last sent to it.
 	stated                   digests
-	evidenceSent, limitsSent sentNews
+	evidenceSent, limitsSent sentDigests
 	// stopTime is when the peer exits, zero if it is not stopping.
 	stopTime time.Time
 }
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -25,11 +25,11 @@
 	exchangePath = "/v1/peers/exchange"
 	// gossipInterval is the time between two exchanges with random peers.
 	// fastGossipInterval applies instead while the store counts as lost or no other
-	// router is known, and for newsPeriod after an engine has ended at a prompt or the
+	// router is known, and for recentPeriod after an engine has ended at a prompt or the
 	// limit of an upstream has changed.
 	gossipInterval     = time.Second
 	fastGossipInterval = 150 * time.Millisecond
-	newsPeriod         = 2 * time.Second
+	recentPeriod       = 2 * time.Second
 	// longPollWait is how long a reader holds an exchange without a change.
 	longPollWait = 500 * time.Millisecond
 	// longPollRetryDelay is the pause after a reader failed to send its items.
@@ -173,16 +173,16 @@
 }
 
 func (p *Peers) interval() time.Duration {
-	if p.storeLost() || len(p.alive()) == 0 || p.hasNews(p.clock()) {
+	if p.storeLost() || len(p.alive()) == 0 || p.hasRecentChange(p.clock()) {
 		return fastGossipInterval
 	}
 	return gossipInterval
 }
 
-// hasNews reports whether this router has learned within newsPeriod what all
+// hasRecentChange reports whether this router has learned within recentPeriod what all
 // routers must know.
-func (p *Peers) hasNews(now time.Time) bool {
-	return p.prompts.HasRecentCrash(newsPeriod, now) || p.limits.ChangedWithin(newsPeriod, now)
+func (p *Peers) hasRecentChange(now time.Time) bool {
+	return p.prompts.HasRecentCrash(recentPeriod, now) || p.limits.ChangedWithin(recentPeriod, now)
 }
 
 // followReaders long-polls the readers one after another until the context ends.
--- a/internal/process/peers/news.go
+++ b/internal/process/peers/shared.go
@@ -2,26 +2,26 @@
 
 import "time"
 
-// newsResendInterval is the time after which the same news is sent to the same
+// resendInterval is the time after which the same state is sent to the same
 // peer again, because a response may be lost.
-const newsResendInterval = 2 * time.Second
+const resendInterval = 2 * time.Second
 
 // digests are the digests of what a router shares with all others: its evidence on
 // prompts and its limits of upstreams.
 type digests struct{ evidence, limits uint64 }
 
-// sentNews is what was last sent to a peer of one kind of news.
-type sentNews struct {
+// sentDigests is what was last sent to a peer, of one kind of shared state.
+type sentDigests struct {
 	// own and peers are the digests of this router and of the peer at that time.
 	own, peers uint64
 	at         time.Time
 }
 
-// isDue reports whether news must be sent to a peer: its digest differs, and the
-// same news was not sent a short time ago.
-func (s sentNews) isDue(own, peers uint64, now time.Time) bool {
+// isDue reports whether shared state must be sent to a peer: its digest differs, and
+// the same state was not sent a short time ago.
+func (s sentDigests) isDue(own, peers uint64, now time.Time) bool {
 	same := s.own == own && s.peers == peers
-	recentlySent := same && now.Sub(s.at) < newsResendInterval
+	recentlySent := same && now.Sub(s.at) < resendInterval
 	return own != peers && !recentlySent
 }
 
@@ -29,8 +29,9 @@
 
 func (p peer) digests() digests { return p.stated }
 
-// addNews adds this router's news to the message for a peer that has the digests.
-func (p *Peers) addNews(m *message, address string, peers digests) {
+// addShared adds the state that this router shares to the message for a peer that
+// has the digests.
+func (p *Peers) addShared(m *message, address string, peers digests) {
 	now := p.clock()
 	k := p.peer(address)
 	evidence, own := p.prompts.Evidence(now)
@@ -45,16 +46,16 @@
 	}
 }
 
-// recordNewsSent records what news the message contained for a peer that had the
-// digests.
-func (p *Peers) recordNewsSent(m message, address string, peers digests) {
+// recordSharedSent records what shared state the message contained for a peer that had
+// the digests.
+func (p *Peers) recordSharedSent(m message, address string, peers digests) {
 	now := p.clock()
 	p.changePeer(address, func(k *peer) {
 		if len(m.Evidence) > 0 {
-			k.evidenceSent = sentNews{m.EvidenceDigest, peers.evidence, now}
+			k.evidenceSent = sentDigests{m.EvidenceDigest, peers.evidence, now}
 		}
 		if len(m.Limits) > 0 {
-			k.limitsSent = sentNews{m.LimitsDigest, peers.limits, now}
+			k.limitsSent = sentDigests{m.LimitsDigest, peers.limits, now}
 		}
 	})
 }
--- a/internal/process/peers/news_test.go
+++ b/internal/process/peers/shared_test.go
@@ -30,15 +30,15 @@
 	}
 	send := func(peers uint64) message {
 		m := message{}
-		p.addNews(&m, "a:1", digests{evidence: peers})
-		p.recordNewsSent(m, "a:1", digests{evidence: peers})
+		p.addShared(&m, "a:1", digests{evidence: peers})
+		p.recordSharedSent(m, "a:1", digests{evidence: peers})
 		return m
 	}
 	p.recordContact("a:1", 1)
 	crash(1)
 	require.NotEmpty(t, send(7).Evidence)
 	require.Empty(t, send(7).Evidence)
-	now = now.Add(newsResendInterval)
+	now = now.Add(resendInterval)
 	require.NotEmpty(t, send(7).Evidence, "a response may have been lost")
 	require.NotEmpty(t, send(0).Evidence, "the router has started again")
 	crash(2)
@@ -59,8 +59,8 @@
 	a, b := newRouter("a:1"), newRouter("b:1")
 	send := func(from, to *Peers) message {
 		m := from.message(mirror.Position{})
-		from.addNews(&m, to.self, from.peer(to.self).digests())
-		from.recordNewsSent(m, to.self, from.peer(to.self).digests())
+		from.addShared(&m, to.self, from.peer(to.self).digests())
+		from.recordSharedSent(m, to.self, from.peer(to.self).digests())
 		to.recordSender(from.self, m)
 		return m
 	}
@@ -68,7 +68,7 @@
 	require.Empty(t, send(a, b).Limits)
 	require.Empty(t, send(b, a).Limits)
 	a.limits.Observe(statedlimit.Statement{Upstream: u, Limited: true, PerSecond: 4.1, SentAt: now}, now)
-	require.True(t, a.hasNews(now))
+	require.True(t, a.hasRecentChange(now))
 	send(a, b)
 	require.InDelta(t, 4.1, b.limits.Limit(u).PerSecond, 0)
 	require.Empty(t, send(b, a).Limits, "a has the same limits")
