--- a/internal/process/ratepermit/permits_test.go
+++ b/internal/process/ratepermit/permits_test.go
@@ -90,20 +90,19 @@
 
 // Guards against a part of the limit that lies unused because the router that holds it gets no requests.
 func TestOneRouterCanUseTheWholeLimit(t *testing.T) {
-	now := start
-	clock := func() time.Time { return now }
-	a := newPermits("a", nil, clock)
+	var elapsed atomic.Int64
+	clock := func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
 	b := newPermits("b", nil, clock)
 	server := httptest.NewServer(b)
 	t.Cleanup(server.Close)
-	other := strings.TrimPrefix(server.URL, "http://")
-	a.peers = ranking{"a", other}
-	state(a, 10, now)
+	a := newPermits("a", ranking{"a", strings.TrimPrefix(server.URL, "http://")}, clock)
+	state(a, 10, clock())
 	granted := 0
-	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(20 * time.Millisecond) {
+	for clock().Before(start.Add(10 * time.Second)) {
 		if a.Acquire(t.Context(), upstream, 0).Granted {
 			granted++
 		}
+		elapsed.Add(int64(20 * time.Millisecond))
 	}
 	require.InDelta(t, 100, granted, 12)
 	require.True(t, b.limits.Limit(upstream).Limited, "the request tells the issuer the limit")
