--- a/internal/process/ratepermit/doc.go
+++ b/internal/process/ratepermit/doc.go
@@ -1,9 +1,9 @@
 // Package ratepermit keeps all routers together within the rate limits that
 // upstreams state. Two routers, the issuers, each issue permits for half of an
-// upstream's limit; the others ask one of them before each request to that
-// upstream. Issuers are chosen by the upstream among the routers that are alive, so
-// that nobody has to agree on them, and a permit follows the demand, so that no
-// share of the limit lies unused at a router without requests.
+// upstream's limit; every other router asks one of them before each request to that
+// upstream. The issuers follow from the upstream and the routers that are alive, so
+// that they need no election. Permits go where requests are, so that no share of
+// the limit lies unused at a router without requests.
 //
 // In a window of w seconds an upstream gets at most one request for each issuer,
 // and w times its limit. Routers that disagree on the issuers, because they know
