--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -64,7 +64,7 @@
 	defer m.mu.Unlock()
 	var changes []Change
 	switch {
-	case b.Era < m.position.Era || b.Era > m.position.Era && !b.Full:
+	case b.Era < m.position.Era, b.Era > m.position.Era && !b.Full:
 		return 0
 	case b.Era > m.position.Era && m.synced:
 		changes = m.restore(b, now)
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -171,7 +171,7 @@
 }
 
 // recordStoreContact records when the store last answered the peer at the position,
-// if this router has the items of just that era and all up to that revision.
+// if this router's items are of the same era and at least as new.
 func (p *Peers) recordStoreContact(peer mirror.Position, contact time.Time) {
 	if held, _ := p.mirror.Position(); held.Era != peer.Era || held.Before(peer) {
 		return
