Look for further upstreams only if the chosen one states a limit

Found by reading the change: each request on the hot path chose twice, to know whether it would be the last upstream, although that matters only to a limited one. The second choice is now made only then; what is chosen, waited for and refused is the same.

--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -83,8 +83,7 @@
 			return directory.View{}, nil, false
 		}
 		c.tried[v.ID] = true
-		_, others := selection.Choose(views, request, rand.Float64)
-		if c.acquirePermit(ctx, v, !others) && c.Directory.Begin(v.ID, tokens, c.Clock()) {
+		if c.acquirePermit(ctx, v, func() bool { return !hasCandidate(views, request) }) && c.Directory.Begin(v.ID, tokens, c.Clock()) {
 			c.logChoice(v, views, request)
 			return v, func() { c.Directory.End(v.ID, tokens) }, true
 		}
@@ -92,6 +91,12 @@
 	return directory.View{}, nil, false
 }
 
+// hasCandidate reports whether an upstream may be chosen for the request.
+func hasCandidate(views []directory.View, r selection.Request) bool {
+	_, ok := selection.Choose(views, r, rand.Float64)
+	return ok
+}
+
 func (c *call) logChoice(v directory.View, views []directory.View, r selection.Request) {
 	c.Log.Emit(eventlog.UpstreamChosen).Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
 		Int64("table_version", c.table.Version()).Int("usable", len(views)).
--- a/internal/request/forwarding/limit.go
+++ b/internal/request/forwarding/limit.go
@@ -40,15 +40,20 @@
 }
 
 // acquirePermit reports whether the request may be sent to the upstream under the
-// limit that it states. It waits for a permit only if this is the last upstream
-// that the request may be sent to.
-func (c *call) acquirePermit(ctx context.Context, v directory.View, last bool) bool {
+// limit that it states. It waits for a permit only if isLast reports that this is
+// the last upstream that the request may be sent to.
+func (c *call) acquirePermit(ctx context.Context, v directory.View, isLast func() bool) bool {
+	u := incarnation(v)
+	if !c.Limits.Limit(u).Limited {
+		return true
+	}
 	maxWait := time.Duration(0)
+	last := isLast()
 	if last {
 		left := time.Duration(permitWaitShare * float64(c.deadline.Sub(c.Clock())))
 		maxWait = max(0, min(maxPermitWait, left))
 	}
-	d := c.Permits.Acquire(ctx, incarnation(v), maxWait)
+	d := c.Permits.Acquire(ctx, u, maxWait)
 	if d.Granted {
 		return d.Wait == 0 || pause.For(ctx, d.Wait)
 	}
