--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -91,7 +91,7 @@
 	if !p.undecoded.Load() {
 		request.Held = p.mirror.Held()
 	}
-	had := p.peer(address).digests()
+	had := p.peer(address).stated
 	p.addShared(&request, address, had)
 	start := p.clock()
 	response, err := p.call(ctx, address, request, wait)
--- a/internal/process/peers/shared.go
+++ b/internal/process/peers/shared.go
@@ -27,8 +27,6 @@
 
 func (m message) digests() digests { return digests{m.EvidenceDigest, m.LimitsDigest} }
 
-func (p peer) digests() digests { return p.stated }
-
 // addShared adds the state that this router shares to the message for a peer that
 // has the digests.
 func (p *Peers) addShared(m *message, address string, peers digests) {
--- a/internal/process/peers/shared_test.go
+++ b/internal/process/peers/shared_test.go
@@ -59,8 +59,8 @@
 	a, b := newRouter("a:1"), newRouter("b:1")
 	send := func(from, to *Peers) message {
 		m := from.message(mirror.Position{})
-		from.addShared(&m, to.self, from.peer(to.self).digests())
-		from.recordSharedSent(m, to.self, from.peer(to.self).digests())
+		from.addShared(&m, to.self, from.peer(to.self).stated)
+		from.recordSharedSent(m, to.self, from.peer(to.self).stated)
 		to.recordSender(from.self, m)
 		return m
 	}
--- a/internal/process/peers/stopping.go
+++ b/internal/process/peers/stopping.go
@@ -44,15 +44,9 @@
 
 // recordStop records when the peer exits, or that it is not stopping.
 func (p *Peers) recordStop(m message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	k, known := p.known[m.Address]
-	if !known {
-		return
-	}
-	k.stopTime = time.Time{}
+	stopTime := time.Time{}
 	if m.StopsInMillis > 0 {
-		k.stopTime = p.clock().Add(time.Duration(m.StopsInMillis) * time.Millisecond)
+		stopTime = p.clock().Add(time.Duration(m.StopsInMillis) * time.Millisecond)
 	}
-	p.known[m.Address] = k
+	p.changePeer(m.Address, func(k *peer) { k.stopTime = stopTime })
 }
