Log a restored store by one function

Found by reading the change: the follower of the store and the exchange with peers had the same check and line. The line of the follower has its source now, as that of the exchange. A comment is reflowed. Nothing else changes.

--- a/internal/process/mirror/encoding.go
+++ b/internal/process/mirror/encoding.go
@@ -24,9 +24,8 @@
 
 // EncodedSince returns the items of Since with each large value encoded for a
 // receiver that holds the given revisions of large values, if these are of the same
-// era. Without a step from
-// such a revision, the value is sent completely; if that is necessary but complete
-// is false, EncodedSince returns false.
+// era. Without a step from such a revision, the value is sent completely; if that is
+// necessary but complete is false, EncodedSince returns false.
 func (m *Mirror) EncodedSince(after Position, held map[string]int64, complete bool) (Batch, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/mirror/follower.go
+++ b/internal/process/mirror/follower.go
@@ -117,7 +117,7 @@
 		return errors.Newf("store answered in era %d, but era %d is known", batch.Era, held.Era)
 	}
 	f.noteSuccess()
-	f.noteEra(batch, held)
+	LogRestored(f.log, StoreSource, batch.Position(), held)
 	batch.Source = StoreSource
 	changed := f.mirror.Apply(batch, f.clock())
 	f.snapshotDue = false
@@ -145,15 +145,6 @@
 	return nil
 }
 
-// noteEra logs that the store has been restored from a copy.
-func (f *Follower) noteEra(b Batch, held Position) {
-	if held.Revision == 0 || b.Era == held.Era {
-		return
-	}
-	f.log.Emit(eventlog.StoreRestored).Int64("era", b.Era).Int64("revision", b.Revision).
-		Int64("held_era", held.Era).Int64("held_revision", held.Revision).Send()
-}
-
 func (f *Follower) noteSuccess() {
 	now := f.clock()
 	f.mirror.RecordContact(now)
--- a/internal/process/mirror/item.go
+++ b/internal/process/mirror/item.go
@@ -1,5 +1,7 @@
 package mirror
 
+import "github.com/flamingohold/flamingohold/internal/process/eventlog"
+
 // Item is the state of one key of the store.
 type Item struct {
 	Key string `json:"key"`
@@ -38,6 +40,16 @@
 	return p.Revision < other.Revision
 }
 
+// LogRestored logs that the store was restored from a copy, if the position, which
+// the source has stated, is of another era than the one held.
+func LogRestored(log *eventlog.Log, source string, position, held Position) {
+	if held.Revision == 0 || position.Era == held.Era {
+		return
+	}
+	log.Emit(eventlog.StoreRestored).Str("source", source).Int64("era", position.Era).Int64("revision", position.Revision).
+		Int64("held_era", held.Era).Int64("held_revision", held.Revision).Send()
+}
+
 // StoreSource is the source of the batches that the store itself sent.
 const StoreSource = "store"
 
--- a/internal/process/peers/exchange.go
+++ b/internal/process/peers/exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
@@ -125,21 +124,11 @@
 		return err
 	}
 	decoded.Source = address
-	p.noteEra(address, decoded.Position(), held)
+	mirror.LogRestored(p.log, address, decoded.Position(), held)
 	p.mirror.Apply(decoded, p.clock())
 	return nil
 }
 
-// noteEra logs that this router learns from a peer that the store was restored from
-// a copy.
-func (p *Peers) noteEra(address string, position, held mirror.Position) {
-	if held.Revision == 0 || position.Era == held.Era {
-		return
-	}
-	p.log.Emit(eventlog.StoreRestored).Str("source", address).Int64("era", position.Era).Int64("revision", position.Revision).
-		Int64("held_era", held.Era).Int64("held_revision", held.Revision).Send()
-}
-
 // recordSender records what the message of a peer says of itself and of others.
 func (p *Peers) recordSender(address string, m message) {
 	p.recordContact(address, m.Heartbeat)
