Query another gateway after a poll of the configuration failed

Callers would see a data centre that is out of service keep its work.

Cause, by reading: a sidecar without messages polls a random gateway.

After a poll that failed another gateway is asked, and a chunk that its source did not deliver is read from another peer than that source. With two gateways the second poll reaches the living one.

--- a/internal/process/configwatch/addresses.go
+++ b/internal/process/configwatch/addresses.go
@@ -44,17 +44,19 @@
 	return slices.Contains(a.observed, peer) || slices.Contains(a.configured, peer)
 }
 
-// pick returns a random peer, empty if none is known.
-func (a *addresses) pick() string {
+// pick returns a random peer, empty if none is known. It returns the excluded one
+// only if it knows no other.
+func (a *addresses) pick(excluded string) string {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	count := len(a.configured) + len(a.observed)
-	if count == 0 {
+	known := slices.Concat(a.configured, a.observed)
+	others := slices.DeleteFunc(slices.Clone(known), func(p string) bool { return p == excluded })
+	switch {
+	case len(others) > 0:
+		return others[rand.IntN(len(others))]
+	case len(known) > 0:
+		return known[0]
+	default:
 		return ""
 	}
-	i := rand.IntN(count)
-	if i < len(a.configured) {
-		return a.configured[i]
-	}
-	return a.observed[i-len(a.configured)]
 }
--- a/internal/process/configwatch/loops.go
+++ b/internal/process/configwatch/loops.go
@@ -68,11 +68,13 @@
 }
 
 // pollPeers queries a random peer at each poll interval. It finds changes for a
-// process that receives no messages or whose configuration service is stale.
+// process that receives no messages or whose configuration service is stale. After
+// a poll that failed it queries another peer.
 func (w *Watcher) pollPeers(ctx context.Context) {
 	succeeded := false
+	failed := ""
 	for pause.For(ctx, jitter(w.pollInterval(succeeded))) {
-		peer := w.peers.pick()
+		peer := w.peers.pick(failed)
 		if peer == "" {
 			continue
 		}
@@ -80,7 +82,10 @@
 		if c := w.Current(); c != nil {
 			known = c.Hash
 		}
-		succeeded = w.readPeer(ctx, peer, known)
+		failed = ""
+		if succeeded = w.readPeer(ctx, peer, known); !succeeded {
+			failed = peer
+		}
 	}
 }
 
--- a/internal/process/configwatch/watcher.go
+++ b/internal/process/configwatch/watcher.go
@@ -185,13 +185,13 @@
 }
 
 // chunk returns a verified chunk from the store, from the source or, if the
-// source fails, from a random peer.
+// source fails, from another peer.
 func (w *Watcher) chunk(ctx context.Context, c manifest.Chunk, from source) ([]byte, error) {
 	if data, ok := w.store.get(c.SHA256); ok {
 		return data, nil
 	}
 	data, err := readVerified(ctx, c, from)
-	if other := w.peers.pick(); err != nil && other != "" {
+	if other := w.peers.pick(from.String()); err != nil && other != "" {
 		if fromPeer, peerErr := readVerified(ctx, c, w.peer(other)); peerErr == nil {
 			data, err = fromPeer, nil
 		}
