--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,8 +23,8 @@
 func play() (code int) {
 	// A process that is started while SIGHUP is ignored would inherit that.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
-	if len(os.Args) == 4 && os.Args[1] == "dying-worker" {
-		dyingWorker(os.Args[2], os.Args[3])
+	if len(os.Args) == 4 && os.Args[1] == "plain-worker" {
+		plainWorker(os.Args[2], os.Args[3])
 		return 0
 	}
 	c, known := cases[os.Args[1]]
