--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(s *system, trouble bool) string{
 	"status":   statusCase,
 	"term":     termCase,
+	"foreign":  foreignCase,
 	"late":     lateCase,
 	"unframed": unframedCase,
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -74,7 +74,7 @@
 	if known.Value != nil {
 		check(json.Unmarshal(known.Value, &present))
 	}
-	if present["state"] == entry["state"] && present["address"] == entry["address"] {
+	if present["state"] == entry["state"] && present["address"] == entry["address"] && present["service"] == entry["service"] && present["born"] != nil {
 		return
 	}
 	s.write(key, entry)
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -209,6 +209,7 @@
 		"version": version, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "desk", "health_path": "/health", "max_conns": 100, "cold_start_s": 0, "cold_per_s": 0},
+			map[string]any{"name": "stock", "health_path": "/health", "max_conns": 100, "cold_start_s": 0, "cold_per_s": 0},
 			map[string]any{"name": "pool", "health_path": "/health", "max_conns": 242, "cold_start_s": 1, "cold_per_s": 37,
 				"engine": map[string]any{"slots": 24, "kv_tokens": 34252, "kv_bytes": 1000, "link_mbps": 2000, "moves": true, "stride": 4}},
 		},
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -12,6 +12,7 @@
 // run is one request that a worker began to work on.
 type run struct {
 	worker, id string
+	path       string
 	at         time.Time
 }
 
@@ -73,7 +74,7 @@
 		return
 	}
 	w.mu.Lock()
-	w.arrivals = append(w.arrivals, run{w.id, id, at})
+	w.arrivals = append(w.arrivals, run{w.id, id, r.URL.Path, at})
 	w.mu.Unlock()
 	w.record.add("worker %s: request %s arrives: %s %s, %d bytes", w.id, id, r.Method, r.URL.RequestURI(), len(body))
 	w.answer(rw, r, body)
