--- a/review/standin/case_term.go
+++ b/review/standin/case_term.go
@@ -59,9 +59,11 @@
 func open(r *router) *channel {
 	c, err := net.Dial("tcp", r.callers)
 	check(err)
-	return &channel{c, bufio.NewReader(c)}
+	return newChannel(c)
 }
 
+func newChannel(c net.Conn) *channel { return &channel{c, bufio.NewReader(c)} }
+
 func (c *channel) ask(path, id string, deadline time.Duration, tokens string) error {
 	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Flamingohold-Attempt-Id: %s\r\nX-Flamingohold-Model: m\r\nX-Flamingohold-Token-Counts: %s\r\n"+
 		"X-Flamingohold-Prompt-Prefix: 5c1e07a2:79,%s:250\r\nX-Flamingohold-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\nbody",
@@ -79,6 +81,16 @@
 	return response.StatusCode, strings.Count(string(body), "\n\n"), response.Header, err
 }
 
+// answerClosing is answer with whether the channel closes after it.
+func (c *channel) answerClosing() (status int, header http.Header, closing bool, err error) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, nil, true, err
+	}
+	_, err = io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, response.Close, err
+}
+
 // termCase: a router gets SIGTERM while engines are crowded.
 func termCase(s *system, trouble bool) string {
 	var w *worker
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 	"status":   statusCase,
 	"term":     termCase,
 	"foreign":  foreignCase,
+	"reuse":    reuseCase,
 	"late":     lateCase,
 	"unframed": unframedCase,
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -23,6 +23,8 @@
 	address           string
 	born              int64
 	sequence          int
+	// quiet is true if single requests are not recorded.
+	quiet bool
 	// answer answers a request after the checks that every worker makes.
 	answer func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -76,7 +78,9 @@
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, run{w.id, id, r.URL.Path, at})
 	w.mu.Unlock()
-	w.record.add("worker %s: request %s arrives: %s %s, %d bytes", w.id, id, r.Method, r.URL.RequestURI(), len(body))
+	if !w.quiet {
+		w.record.add("worker %s: request %s arrives: %s %s, %d bytes", w.id, id, r.Method, r.URL.RequestURI(), len(body))
+	}
 	w.answer(rw, r, body)
 }
 
