Answer the requests that a shutdown cancels before it closes their connections

What callers saw: a request without an answer at the end of the shutdown notice ended with a closed connection (LOST), though its handler answers 502.

Cause: Shutdown cancelled the requests and closed their connections in the same moment. The answers were written to closed connections.

Change: Shutdown cancels first and waits up to 100 ms for the responses; the router reserves 0.3 s of the notice instead of 0.2 s. A cancelled handler that wrote nothing closes its connection, because the library would send 200.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -25,6 +25,9 @@
 	// maxWriteBufferBytes bounds the unsent data of a connection; the library
 	// closes a connection that exceeds it. The stream writer blocks well below it.
 	maxWriteBufferBytes = 4 << 20
+	// cancelPeriod is the time that Shutdown gives requests that it cancels to send
+	// their responses.
+	cancelPeriod = 100 * time.Millisecond
 	// sweepInterval is the time between two sweeps of the busy connections. One in
 	// sweepsPerIdleSweep sweeps includes the idle connections.
 	sweepInterval      = 20 * time.Millisecond
@@ -229,7 +232,8 @@
 
 // Shutdown stops accepting connections, lets running requests end and their
 // responses reach the callers, and closes all connections. If the context ends
-// first, it closes them immediately and returns the context's error.
+// first, it cancels the contexts of the requests, closes all connections once the
+// handlers have responded or after 100 ms, and returns the error of ctx.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.mu.Lock()
 	alreadyShutDown := l.shutDown
@@ -240,6 +244,9 @@
 	}
 	l.socket.stopAccepting()
 	err := l.waitUntilIdle(ctx)
+	if err != nil {
+		l.cancelRequests()
+	}
 	close(l.stopped)
 	l.sweeper.Wait()
 	l.engine.Stop()
@@ -259,6 +266,16 @@
 	return nil
 }
 
+// cancelRequests cancels the requests in progress and waits until their responses
+// are sent.
+func (l *Listener) cancelRequests() {
+	l.engine.Cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), cancelPeriod)
+	defer cancel()
+	// What has not ended then is closed with the other connections.
+	_ = l.waitUntilIdle(ctx)
+}
+
 func (l *Listener) busyCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -356,6 +373,10 @@
 	s := stream.NewWithConnection(w, r.Method, c)
 	defer l.recoverPanic(s, c)
 	l.handler.ServeHTTP(s, r.WithContext(ctx))
+	if ctx.Err() != nil && !s.Started() {
+		// The library would send status 200 for a handler that gave up.
+		_ = c.socket.Close()
+	}
 }
 
 // recoverPanic ends the response of a handler that panicked. If a part of the
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -49,8 +49,9 @@
 	// unreadyPeriod is how long a stopping router still accepts connections, so
 	// that the platform can observe that it is not ready.
 	unreadyPeriod = 2500 * time.Millisecond
-	// stopMargin is the part at the end of the shutdown notice that is left unused.
-	stopMargin = 200 * time.Millisecond
+	// stopMargin is the part at the end of the shutdown notice in which the requests
+	// that are still unanswered get an error response and the process exits.
+	stopMargin = 300 * time.Millisecond
 	// maxBodyBytes bounds a request body, whatever the route table allows.
 	maxBodyBytes = 16 << 20
 	// reservedDescriptors is the number of file descriptors that are not available
