Serve no request on a connection that is being closed

What callers saw: a request that arrived on a kept connection at the moment in which a stopping process closed it ran, and its connection ended without an answer (LOST).

Cause: Shutdown closed all connections once none was busy, and data that the poller read meanwhile was still served. The idle timeout and the close after a last response had the same gap. Idle connections stayed open until the last request had ended, so that requests came late in the notice.

Change: a connection is marked as ended, under its lock, before its socket is closed; no request begins on it then. Shutdown closes idle connections at once.

--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -51,6 +51,9 @@
 	refusal *problem.Problem
 	// refusalSent is true once the refusal has been queued for sending.
 	refusalSent bool
+	// ended is true once the listener has decided to close the socket. Data that
+	// was read but not parsed until then is not served.
+	ended bool
 	// finished is true once the socket is closed and all handlers have returned.
 	finished bool
 	cancel   context.CancelFunc
@@ -154,7 +157,7 @@
 func (c *connection) beginReceiving(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refusal != nil {
+	if c.refusal != nil || c.ended {
 		return false
 	}
 	if !c.receiving && c.active == 0 {
@@ -184,7 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.receiving = false
-	if c.refusal != nil {
+	if c.refusal != nil || c.ended {
 		return false
 	}
 	c.active++
@@ -199,6 +202,7 @@
 	c.cancel = nil
 	idle := c.active == 0
 	closeWhenSent := c.closeWhenSent
+	c.ended = c.ended || (idle && closeWhenSent)
 	if idle {
 		c.deadline = now.Add(c.listener.options.limits().IdleTimeout)
 	}
@@ -297,18 +301,36 @@
 	}
 	expired := !c.deadline.IsZero() && now.After(c.deadline) && queued == 0
 	if expired || (queued > 0 && c.stalled(now, stallTimeout)) {
-		_ = c.socket.Close()
+		c.end()
 		return true
 	}
 	if c.active > 0 || c.receiving || queued > 0 {
 		return true
 	}
 	if c.closeWhenSent {
-		_ = c.socket.Close()
+		c.end()
 	}
 	return false
 }
 
+// endIdle closes the connection, unless it receives or serves a request or has
+// unsent data. It reports whether the connection is closed.
+func (c *connection) endIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active == 0 && !c.receiving && c.queued.Load() == 0 {
+		c.end()
+	}
+	return c.Closed()
+}
+
+// end closes the socket. Data that arrives meanwhile is not served. The caller must
+// hold c.mu.
+func (c *connection) end() {
+	c.ended = true
+	_ = c.socket.Close()
+}
+
 // stalled reports whether no byte has been sent within the timeout.
 func (c *connection) stalled(now time.Time, timeout time.Duration) bool {
 	if sent := c.sent.Load(); sent != c.lastSent || c.lastSentAt.IsZero() {
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -230,9 +230,9 @@
 	l.closing = true
 }
 
-// Shutdown stops accepting connections, lets running requests end and their
-// responses reach the callers, and closes all connections. If the context ends
-// first, it cancels the contexts of the requests, closes all connections once the
+// Shutdown stops accepting connections, closes idle ones, lets running requests end
+// and their responses reach the callers, and closes all connections. If the context
+// ends first, it cancels the contexts of the requests, closes all connections once the
 // handlers have responded or after 100 ms, and returns the error of ctx.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.mu.Lock()
@@ -256,7 +256,7 @@
 func (l *Listener) waitUntilIdle(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for l.busyCount() > 0 {
+	for !l.endIdleConnections() || l.busyCount() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -276,6 +276,18 @@
 	_ = l.waitUntilIdle(ctx)
 }
 
+// endIdleConnections closes the idle connections. It reports whether no connection
+// is open.
+func (l *Listener) endIdleConnections() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	allEnded := true
+	for _, c := range l.open {
+		allEnded = c.endIdle() && allEnded
+	}
+	return allEnded
+}
+
 func (l *Listener) busyCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/connection/listener/shutdown_test.go
+++ b/internal/connection/listener/shutdown_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,3 +55,47 @@
 	_, err := http.ReadResponse(silent, nil)
 	require.Error(t, err)
 }
+
+// Guards against requests that are served on connections which the listener has
+// decided to close: they ran, and their callers got no answer. A request whose
+// connection is closed without an answer must not have been served.
+func TestShutdownServesNoRequestThatItCannotAnswer(t *testing.T) {
+	const rounds, callers = 10, 400
+	for range rounds {
+		var served sync.Map
+		l := startListener(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
+			served.Store(r.URL.Path, true)
+			_, _ = w.Write([]byte("done"))
+		})
+		var running sync.WaitGroup
+		for i := range callers {
+			c, reader := dial(t, l, "")
+			running.Go(func() {
+				for n := 0; ; n++ {
+					time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
+					path := fmt.Sprintf("/%d/%d", i, n)
+					_, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")
+					if err == nil {
+						var response *http.Response
+						if response, err = http.ReadResponse(reader, nil); err == nil {
+							_, err = io.Copy(io.Discard, response.Body)
+						}
+						if err == nil && response.Close {
+							return
+						}
+					}
+					if err == nil {
+						continue
+					}
+					if _, ok := served.Load(path); ok {
+						t.Errorf("request %s was served, and its connection closed: %v", path, err)
+					}
+					return
+				}
+			})
+		}
+		time.Sleep(time.Duration(20+rand.IntN(20)) * time.Millisecond)
+		require.NoError(t, l.Shutdown(t.Context()))
+		running.Wait()
+	}
+}
