Keep events of closed connections from closing new ones

Cause: the library's poller finds the connection of an event by descriptor. A connection that a handler closes after its event was read frees the descriptor for a new one, which the event then closes.

Change: a new connection waits, with its descriptor taken, until the poller has handled the events that it read before. Ruled out: closing by the poller alone (the library closes by itself after failed writes), shutdown(2) in place of close, another event loop.

--- a/internal/connection/listener/doc.go
+++ b/internal/connection/listener/doc.go
@@ -11,5 +11,7 @@
 // the listener delays the close until the queue is empty. The library ignores
 // the Content-Length of a request that also has a Transfer-Encoding, and uses
 // the first of several Content-Length fields, so the listener refuses these
-// requests.
+// requests. The library's poller applies an event of a closed connection to a new
+// one with the same file descriptor, so each new connection waits until the poller
+// has handled the events that it has read.
 package listener
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -33,8 +33,8 @@
 	sweepInterval      = 20 * time.Millisecond
 	sweepsPerIdleSweep = 50
 	// pollerCount is the number of goroutines that read requests. One is enough,
-	// because the handlers' goroutines write the responses. awaitPoller works
-	// only with one.
+	// because the handlers' goroutines write the responses. The fence works only
+	// with one.
 	pollerCount = 1
 	// libraryIdleTimeout prevents the library from closing idle connections; the
 	// sweep closes them.
@@ -147,6 +147,7 @@
 	handler http.Handler
 	engine  *nbhttp.Engine
 	socket  *socket
+	fence   *pollerFence
 	// stopped is closed when the sweep must end.
 	stopped chan struct{}
 	sweeper sync.WaitGroup
@@ -179,7 +180,7 @@
 	l := &Listener{
 		options: options.withDefaults(),
 		handler: handler,
-		socket:  &socket{Listener: inner, closed: make(chan struct{})},
+		socket:  newSocket(inner),
 		stopped: make(chan struct{}),
 		open:    make(map[*nbio.Conn]*connection),
 		busy:    make(map[*connection]struct{}),
@@ -189,10 +190,7 @@
 	l.engine.OnWrittenSize(recordSent)
 	l.engine.OnOpen(l.handleOpen)
 	l.engine.OnClose(l.handleClose)
-	if err := l.engine.Start(); err != nil {
-		return nil, errors.CombineErrors(errors.Wrapf(err, "serve on %s", options.Address), l.socket.Close())
-	}
-	if err := awaitPoller(l.engine.Engine); err != nil {
+	if err := l.start(); err != nil {
 		return nil, errors.CombineErrors(errors.Wrapf(err, "serve on %s", options.Address), l.socket.Close())
 	}
 	l.sweeper.Add(1)
@@ -200,6 +198,22 @@
 	return l, nil
 }
 
+// start starts the engine and accepts connections once its poller runs.
+func (l *Listener) start() error {
+	if err := l.engine.Start(); err != nil {
+		return err
+	}
+	var err error
+	if l.fence, err = newPollerFence(l.engine.Engine); err != nil {
+		return err
+	}
+	if err := l.fence.awaitStart(); err != nil {
+		return err
+	}
+	l.socket.start(l.fence)
+	return nil
+}
+
 func (l *Listener) engineConfig() nbhttp.Config {
 	return nbhttp.Config{
 		Network:            "tcp",
@@ -250,7 +264,7 @@
 	close(l.stopped)
 	l.sweeper.Wait()
 	l.engine.Stop()
-	return err
+	return errors.CombineErrors(err, l.fence.close())
 }
 
 func (l *Listener) waitUntilIdle(ctx context.Context) error {
--- a/internal/connection/listener/poller.go
+++ b/internal/connection/listener/poller.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,39 +14,73 @@
 // pollerStartTimeout bounds the time until the poller runs.
 const pollerStartTimeout = 30 * time.Second
 
-// awaitPoller waits until the engine's poller has read a byte. A poller that
-// first runs after the engine was stopped misses the stop: it runs in a busy
-// loop, and Engine.Stop never returns.
-func awaitPoller(engine *nbio.Engine) error {
+// pollerFence waits until the poller has handled all events that it has read.
+//
+// The poller finds the connection of an event by its file descriptor. If a
+// connection is closed elsewhere after its event was read, the descriptor may be
+// used again before the event is handled, and the event would close the new
+// connection. A new connection that passes the fence before the poller learns of
+// it gets no such event.
+type pollerFence struct {
+	// local is written to, and the poller reads what arrives at remote.
+	local  *os.File
+	remote *nbio.Conn
+
+	// mu serializes the waits.
+	mu sync.Mutex
+	// read receives a value for each read of the poller.
+	read chan struct{}
+}
+
+// newPollerFence returns a fence of the engine's poller.
+func newPollerFence(engine *nbio.Engine) (*pollerFence, error) {
 	sockets, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
 	if err != nil {
-		return errors.Wrap(err, "open socket pair")
+		return nil, errors.Wrap(err, "open socket pair")
 	}
-	local := os.NewFile(uintptr(sockets[0]), "near")
+	f := &pollerFence{local: os.NewFile(uintptr(sockets[0]), "near"), read: make(chan struct{}, 1)}
 	remote := os.NewFile(uintptr(sockets[1]), "far")
-	defer func() { _ = local.Close() }()
 	netConn, err := net.FileConn(remote)
 	_ = remote.Close()
-	if err != nil {
-		return errors.Wrap(err, "open probe connection")
+	if err == nil {
+		f.remote, err = nbio.NBConn(netConn)
 	}
-	probe, err := nbio.NBConn(netConn)
 	if err != nil {
-		return errors.Wrap(err, "open probe connection")
+		return nil, errors.CombineErrors(errors.Wrap(err, "open fence connection"), f.local.Close())
 	}
-	running := make(chan struct{}, 1)
-	probe.OnData(func(*nbio.Conn, []byte) { running <- struct{}{} })
-	if _, err := engine.AddConn(probe); err != nil {
-		return errors.Wrap(err, "add probe connection")
+	f.remote.OnData(func(*nbio.Conn, []byte) { f.read <- struct{}{} })
+	if _, err := engine.AddConn(f.remote); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "add fence connection"), f.local.Close())
 	}
-	defer func() { _ = probe.Close() }()
-	if _, err := local.Write([]byte{0}); err != nil {
-		return errors.Wrap(err, "write to probe connection")
+	return f, nil
+}
+
+// awaitStart waits until the poller runs. A poller that first runs after the engine
+// was stopped misses the stop: it runs in a busy loop, and Engine.Stop never
+// returns.
+func (f *pollerFence) awaitStart() error {
+	timeout := make(chan struct{})
+	timer := time.AfterFunc(pollerStartTimeout, func() { close(timeout) })
+	defer timer.Stop()
+	return errors.Wrap(f.wait(timeout), "start of the poller")
+}
+
+// wait blocks until the poller has handled all events that it read before the
+// call. It returns an error if cancelled is closed first; the fence must not be
+// used after that.
+func (f *pollerFence) wait(cancelled <-chan struct{}) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, err := f.local.Write([]byte{0}); err != nil {
+		return errors.Wrap(err, "write to fence connection")
 	}
 	select {
-	case <-running:
+	case <-f.read:
 		return nil
-	case <-time.After(pollerStartTimeout):
-		return errors.New("the poller did not read the probe byte in time")
+	case <-cancelled:
+		return errors.New("the poller did not read the fence's byte in time")
 	}
 }
+
+// close closes the fence. The engine closes the remote end when it stops.
+func (f *pollerFence) close() error { return f.local.Close() }
