Pass on an answer without a length only if its upstream still lives

Cause: the end of the connection was taken for the end of the body. For streams the router already checked that the upstream still accepts connections.

Change: plain answers make the same check. Orders get 502, as their outcome is unknown; what may be repeated goes to another upstream.

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -148,7 +148,7 @@
 	}
 	StreamEndDecided = Event{
 		6039, "stream_end_decided", zerolog.InfoLevel,
-		"A stream that only the end of its connection delimits ended after an event; it is complete if its upstream still accepts connections.", "none",
+		"An answer or a stream that only the end of its connection delimits has ended; it is complete if its upstream still accepts connections.", "none",
 	}
 	UpstreamLimitChanged = Event{
 		6040, "upstream_limit_changed", zerolog.InfoLevel,
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -25,6 +25,10 @@
 	upstream directory.View
 }
 
+// errEndUnconfirmed is the error of an answer without a length whose upstream ended
+// with it.
+var errEndUnconfirmed = errors.New("upstream ended with an answer that has no length")
+
 // servePlain serves a request whose answer is not streamed.
 func (c *call) servePlain(ctx context.Context) {
 	var failure *plainAnswer
@@ -89,6 +93,9 @@
 	}
 	defer answer.Close()
 	body, err := answer.Body(maxPlainBody)
+	if err == nil && answer.CloseDelimited() && c.r.Method != http.MethodHead && !c.confirmClosed(ctx, v, 0) {
+		err = errEndUnconfirmed
+	}
 	if err != nil {
 		c.Directory.RecordOutcome(v.ID, true, c.Clock())
 		c.recordFailedAttempt(v, lost, answer, err)
--- a/internal/request/forwarding/streamend.go
+++ b/internal/request/forwarding/streamend.go
@@ -64,12 +64,13 @@
 // connections to an upstream that has ended are closed as well.
 const closeConfirmDelay = 50 * time.Millisecond
 
-// confirmClosed reports whether a stream that only the end of its connection
-// delimits is complete: the upstream that ended it still accepts connections.
-func (s *stream) confirmClosed(ctx context.Context, v directory.View) bool {
+// confirmClosed reports whether an answer that only the end of its connection
+// delimits is complete: the upstream that ended it still accepts connections. The
+// answer has had the given number of events.
+func (c *call) confirmClosed(ctx context.Context, v directory.View, events int) bool {
 	pause.For(ctx, closeConfirmDelay)
-	err := s.Pool.Reach(ctx, v.Address)
-	s.Log.Emit(eventlog.StreamEndDecided).Str("request_id", s.id).Str("upstream", v.ID).Int("events", s.events).
+	err := c.Pool.Reach(ctx, v.Address)
+	c.Log.Emit(eventlog.StreamEndDecided).Str("request_id", c.id).Str("upstream", v.ID).Int("events", events).
 		Bool("complete", err == nil).Err(err).Send()
 	return err == nil
 }
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -166,7 +166,7 @@
 	if h, ok := s.run.TakeHandoff(ctx); ok {
 		return s.follow(ctx, v, h)
 	}
-	if end == closed && s.confirmClosed(ctx, v) {
+	if end == closed && s.confirmClosed(ctx, v, s.events) {
 		s.recordComplete(v)
 		return true
 	}
