Bound the incomplete events of all streams together

What operators of a like system saw: bytes without end of a faulty worker filled the memory of the process that had called it, and the requests of other callers ended with it (LOST).

Change: the reader of a stream reserves memory before its buffer grows; all readers share 16 MiB, apart from the bound of plain answers.

--- a/internal/connection/upstreamclient/answer.go
+++ b/internal/connection/upstreamclient/answer.go
@@ -30,6 +30,8 @@
 	ctx  context.Context //nolint:containedctx // it is the context of this exchange only
 	// buffered is the part of the body that counts in the pool's buffered bytes.
 	buffered int64
+	// reserved is the number of bytes that Reserve counted.
+	reserved int64
 	// complete is true once the body was read to its proper end.
 	complete bool
 }
@@ -82,6 +84,20 @@
 	return n, err
 }
 
+// Reserve counts bytes of a stream that its reader keeps, until the answer is closed.
+// It returns an error if the readers of all streams keep too many together.
+func (a *Answer) Reserve(bytes int64) error {
+	a.reserved += bytes
+	if a.connection.pool.reserved.Add(bytes) > maxReservedBytes {
+		return &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errTooManyReserved}
+	}
+	return nil
+}
+
+// errTooManyReserved is the error of a stream that exceeds what the readers of all
+// streams together may keep.
+var errTooManyReserved = errors.Newf("events in progress exceed %d bytes", maxReservedBytes)
+
 // errTooManyBuffered is the error of an answer that exceeds what all answers
 // together may buffer.
 var errTooManyBuffered = errors.Newf("answers in progress exceed %d bytes", maxBufferedBytes)
@@ -91,6 +107,8 @@
 func (a *Answer) Close() {
 	a.connection.pool.buffered.Add(-a.buffered)
 	a.buffered = 0
+	a.connection.pool.reserved.Add(-a.reserved)
+	a.reserved = 0
 	stopped := a.stop()
 	if !stopped || !a.complete || a.mustClose || len(a.connection.carried) >= maxCarried || !a.requestSent() || a.connection.reader.Buffered() > 0 {
 		a.connection.close()
--- a/internal/connection/upstreamclient/endless_test.go
+++ b/internal/connection/upstreamclient/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"net/http"
 	"runtime"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
+	"github.com/flamingohold/flamingohold/internal/request/eventstream"
 )
 
 // endlessPeer returns the address of a peer that sends the start, and then the
@@ -111,3 +113,59 @@
 	require.Equal(t, "xxxxx", string(body))
 	answer.Close()
 }
+
+// Guards against many streams with events that do not end, each below the bound of
+// one event, that together fill the memory of the process.
+func TestEventsWithoutEndShareABound(t *testing.T) {
+	const streams, eventBytes, bound = 64, 900 << 10, 16 << 20
+	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = socket.Close() }()
+	var peers sync.WaitGroup
+	peers.Add(streams)
+	finished := make(chan struct{})
+	defer close(finished)
+	go func() {
+		for {
+			c, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\ndata: "))
+				_, _ = c.Write(bytes.Repeat([]byte("x"), eventBytes))
+				// The peer keeps the connection. What it has written is read by then, but for
+				// what the system buffers.
+				peers.Done()
+				<-finished
+				_ = c.Close()
+			}()
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var refused atomic.Int64
+	var readers sync.WaitGroup
+	for range streams {
+		answer, err := pool.Send(ctx, socket.Addr().String(), &upstreamclient.Request{Method: http.MethodGet, Target: "/", Host: "peer", Header: http.Header{}})
+		require.NoError(t, err)
+		readers.Go(func() {
+			defer answer.Close()
+			if _, err := eventstream.New(answer, answer.Reserve).Next(); err != nil && ctx.Err() == nil {
+				refused.Add(1)
+			}
+		})
+	}
+	peers.Wait()
+	time.Sleep(200 * time.Millisecond)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(2*bound))
+	require.Positive(t, refused.Load())
+	cancel()
+	readers.Wait()
+}
--- a/internal/connection/upstreamclient/pool.go
+++ b/internal/connection/upstreamclient/pool.go
@@ -31,6 +31,9 @@
 	// maxBufferedBytes bounds the bodies that are being read completely, of all
 	// answers together.
 	maxBufferedBytes = 16 << 20
+	// maxReservedBytes bounds the incomplete events of all streams together. It is
+	// apart from maxBufferedBytes, so that faulty engines do not fail plain requests.
+	maxReservedBytes = 16 << 20
 	// maxIdle bounds the idle connections to one address.
 	maxIdle = 64
 )
@@ -51,6 +54,8 @@
 	clock   func() time.Time
 	// buffered is the size of the bodies that are being read completely.
 	buffered atomic.Int64
+	// reserved is the size of the incomplete events that readers of streams keep.
+	reserved atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*connection
--- a/internal/request/eventstream/eventstream.go
+++ b/internal/request/eventstream/eventstream.go
@@ -24,18 +24,24 @@
 	ID string
 }
 
+// Reserve reserves memory for the given number of bytes, or returns an error if there
+// is none.
+type Reserve func(bytes int64) error
+
 // Reader reads events. It must not be used by several goroutines at once.
 type Reader struct {
-	source io.Reader
+	source  io.Reader
+	reserve Reserve
 	buffer []byte
 	// start and end delimit the bytes in buffer that were not yet returned.
 	start, end int
 	err        error
 }
 
-// New returns a reader of the source.
-func New(source io.Reader) *Reader {
-	return &Reader{source: source, buffer: make([]byte, initialBufferBytes)}
+// New returns a reader of the source. It calls reserve before its buffer grows beyond
+// 4 KiB, with the size by which it grows.
+func New(source io.Reader, reserve Reserve) *Reader {
+	return &Reader{source: source, reserve: reserve, buffer: make([]byte, initialBufferBytes)}
 }
 
 // Next returns the next complete event. At the end of the source it returns the
@@ -71,6 +77,9 @@
 		if len(r.buffer) >= maxEventBytes {
 			return ErrTooLarge
 		}
+		if err := r.reserve(int64(len(r.buffer))); err != nil {
+			return err
+		}
 		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
 	n, err := r.source.Read(r.buffer[r.end:])
--- a/internal/request/eventstream/eventstream_test.go
+++ b/internal/request/eventstream/eventstream_test.go
@@ -23,7 +23,7 @@
 			want = append(want, "id: "+strconv.Itoa(i)+newline+"data:"+data+newline+newline)
 		}
 		rest := rapid.SampledFrom([]string{"", "id: 99\nda"}).Draw(t, "rest")
-		r := New(iotest.OneByteReader(strings.NewReader(strings.Join(want, "") + rest)))
+		r := New(iotest.OneByteReader(strings.NewReader(strings.Join(want, "") + rest)), unlimited)
 		for i, w := range want {
 			e, err := r.Next()
 			require.NoError(t, err)
@@ -38,7 +38,7 @@
 
 // Guards against an endless event that exhausts the memory.
 func TestEventSizeIsBounded(t *testing.T) {
-	r := New(bytes.NewReader(bytes.Repeat([]byte("x"), 4*maxEventBytes)))
+	r := New(bytes.NewReader(bytes.Repeat([]byte("x"), 4*maxEventBytes)), unlimited)
 	_, err := r.Next()
 	require.ErrorIs(t, err, ErrTooLarge)
 }
@@ -48,7 +48,7 @@
 	source := bytes.Repeat(event, 200)
 	b.SetBytes(int64(len(source)))
 	for b.Loop() {
-		r := New(bytes.NewReader(source))
+		r := New(bytes.NewReader(source), unlimited)
 		for {
 			if _, err := r.Next(); err != nil {
 				break
@@ -63,7 +63,7 @@
 		f.Add([]byte(stream))
 	}
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		r := New(bytes.NewReader(stream))
+		r := New(bytes.NewReader(stream), unlimited)
 		var read []byte
 		for {
 			e, err := r.Next()
@@ -76,3 +76,6 @@
 		require.Equal(t, string(stream), string(read))
 	})
 }
+
+// unlimited reserves any number of bytes.
+func unlimited(int64) error { return nil }
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -241,7 +241,7 @@
 // relayEvents passes on complete events as they arrive. It skips events that
 // were sent to the caller before.
 func (s *stream) relayEvents(answer *upstreamclient.Answer) (upstreamEnd, error) {
-	reader := eventstream.New(answer)
+	reader := eventstream.New(answer, answer.Reserve)
 	for {
 		event, err := reader.Next()
 		if err != nil {
