Leave time for the news of a removal that is in doubt

What callers saw: after an outage of the store, removed upstreams got requests for more than 2 s after the store had acknowledged the removal (DRAIN).

Cause: an upstream whose removal is in doubt stayed in use for 2 s, all that is allowed, from the moment at which the router learned of the removal. The news takes time before that.

TestUnconfirmedRetentionLeavesTimeForTheNews failed before.

Change: such an upstream stays in use for 1.5 s.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -14,8 +14,9 @@
 	// write it again in that time.
 	restoredDistrust = 10 * time.Second
 	// unconfirmedRetention is how long an upstream stays in use after the list
-	// dropped it while the list was unstable.
-	unconfirmedRetention = 2 * time.Second
+	// dropped it while the list was unstable. A removed upstream may get requests for
+	// 2 s, of which the news of its removal takes a part.
+	unconfirmedRetention = 1500 * time.Millisecond
 	// unreachableCooldown is how long an unreachable upstream is avoided.
 	unreachableCooldown = 700 * time.Millisecond
 	// failureWeight is the weight of the newest call in the moving average of
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -68,6 +68,18 @@
 	require.Empty(t, usable(d, start.Add(4*time.Second)))
 }
 
+// Guards against requests to a removed upstream for longer than operators allow, 2 s
+// after its removal, because the retention alone took that time and the news of the
+// removal, which comes by the store's watch and other routers, took more.
+func TestUnconfirmedRetentionLeavesTimeForTheNews(t *testing.T) {
+	const allowed, newsDelay = 2 * time.Second, 400 * time.Millisecond
+	d := newDirectory()
+	d.Upsert(entry("a", "10.0.0.1:1", 1), start)
+	learned := start.Add(newsDelay)
+	d.MarkRemoved("a", true, learned)
+	require.Empty(t, usable(d, start.Add(allowed)))
+}
+
 // Guards against new work for an upstream that leaves, according to the list or
 // its own report, and against calling OnDeparture's function twice.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
