--- a/internal/request/eventstream/eventstream.go
+++ b/internal/request/eventstream/eventstream.go
@@ -32,7 +32,7 @@
 type Reader struct {
 	source  io.Reader
 	reserve Reserve
-	buffer []byte
+	buffer  []byte
 	// start and end delimit the bytes in buffer that were not yet returned.
 	start, end int
 	err        error
--- a/internal/request/eventstream/eventstream_test.go
+++ b/internal/request/eventstream/eventstream_test.go
@@ -23,7 +23,7 @@
 			want = append(want, "id: "+strconv.Itoa(i)+newline+"data:"+data+newline+newline)
 		}
 		rest := rapid.SampledFrom([]string{"", "id: 99\nda"}).Draw(t, "rest")
-		r := New(iotest.OneByteReader(strings.NewReader(strings.Join(want, "") + rest)), unlimited)
+		r := New(iotest.OneByteReader(strings.NewReader(strings.Join(want, "")+rest)), unlimited)
 		for i, w := range want {
 			e, err := r.Next()
 			require.NoError(t, err)
