Ignore entries of upstreams that arrive late

What callers saw: a leaving upstream got another request after the store had written its older entry, ready, late (DRAIN).

Cause: the newest write won; the sequence of the entries of an incarnation was compared only for a restored store.

Change: an entry with a lower sequence than the known one of its incarnation is ignored and logged. Another incarnation is never late.

--- a/internal/process/directory/leaving_test.go
+++ b/internal/process/directory/leaving_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/flamingohold/flamingohold/internal/process/drainnotice"
 )
@@ -57,3 +58,37 @@
 	shared, _ := d.SharedNotices(start)
 	require.Len(t, shared, 2)
 }
+
+// Guards against an older entry that the store writes late, and that makes a leaving
+// upstream usable again. Every order of an incarnation's entries, with any of them
+// repeated or missing, must leave the state of the latest one that arrived.
+func TestLateEntryDoesNotReplaceALaterOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirectory()
+		latest := Entry{}
+		for _, sequence := range rapid.SliceOfN(rapid.Int64Range(1, 8), 1, 20).Draw(t, "sequences") {
+			e := entry("a", "10.0.0.1:1", 1)
+			e.Sequence, e.Leaving = sequence, sequence >= 5
+			if e.Sequence >= latest.Sequence {
+				latest = e
+			}
+			d.Upsert(e, start)
+			require.Equal(t, !latest.Leaving, len(usable(d, start)) == 1)
+		}
+	})
+}
+
+// Guards against a restarted upstream that is ignored because its entries count anew,
+// or because its time of day was set back.
+func TestEntryOfAnotherIncarnationIsNeverLate(t *testing.T) {
+	for _, incarnation := range []int64{50, 200} {
+		d := newDirectory()
+		first := entry("a", "10.0.0.1:1", 100)
+		first.Sequence, first.Leaving = 9, true
+		d.Upsert(first, start)
+		restarted := entry("a", "10.0.0.1:1", incarnation)
+		restarted.Sequence = 1
+		d.Upsert(restarted, start)
+		require.Equal(t, []string{"a"}, usable(d, start))
+	}
+}
--- a/internal/process/directory/list.go
+++ b/internal/process/directory/list.go
@@ -26,8 +26,25 @@
 	Sequence int64
 }
 
-// Upsert adds or updates the upstream of an entry of the instance list.
-func (d *Directory) Upsert(e Entry, now time.Time) { d.upsert(e, time.Time{}, now) }
+// Upsert adds or updates the upstream of an entry of the instance list. An entry that
+// was written before the one known, and arrives after it, is ignored.
+func (d *Directory) Upsert(e Entry, now time.Time) {
+	if d.isLate(e) {
+		d.log.Emit(eventlog.ItemOutdated).Str("upstream", e.ID).Int64("incarnation", e.Incarnation).Int64("sequence", e.Sequence).
+			Bool("ignored", true).Bool("distrusted", false).Send()
+		return
+	}
+	d.upsert(e, time.Time{}, now)
+}
+
+// isLate reports whether the upstream wrote the entry before the one known. Another
+// incarnation is never late: the time of day at its start may have been set back.
+func (d *Directory) isLate(e Entry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.upstreams[e.ID]
+	return u != nil && u.wroteLater(e)
+}
 
 // Restore adds or updates the upstream of an entry of an instance list that was
 // restored from a copy. An entry that is older than the one known is ignored. If the
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -19,7 +19,12 @@
 	if e.Incarnation != u.entry.Incarnation {
 		return e.Incarnation < u.entry.Incarnation
 	}
-	return e.Sequence < u.entry.Sequence || e.Sequence == u.entry.Sequence && u.isRemoved(now)
+	return u.wroteLater(e) || e.Sequence == u.entry.Sequence && u.isRemoved(now)
+}
+
+// wroteLater reports whether the incarnation of the entry wrote the one known later.
+func (u *upstream) wroteLater(e Entry) bool {
+	return e.Incarnation == u.entry.Incarnation && e.Sequence < u.entry.Sequence
 }
 
 // isRemoved reports whether the upstream counts as removed.
