Send a status without a registered name unchanged

A status of 600 or above became 200.

Cause: the library sends 200 for a status without a name; the first status of its class was sent in its place.

TestStatusWithoutNameIsSentUnchanged fails before (299 became 200).

Change: the connection puts the status into the head that the library wrote. TestFramingOfUnusualResponses expected 500 for 520, which was the fault; it expects 520 now, the rest of it is unchanged.

--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,8 @@
 	// refusal is the error response after which the connection closes, nil for
 	// none.
 	refusal *problem.Problem
+	// status replaces the status of the next response's head, 0 for none.
+	status int
 	// refusalSent is true once the refusal has been queued for sending.
 	refusalSent bool
 	// ended is true once the listener has decided to close the socket. Data that
@@ -90,8 +93,39 @@
 
 // Write queues data. The library calls it.
 func (c *connection) Write(data []byte) (int, error) {
+	size := len(data)
+	if status := c.takeStatus(); status != 0 {
+		data = withStatus(data, status)
+	}
 	c.queued.Add(int64(len(data)))
-	return c.Conn.Write(data)
+	if _, err := c.Conn.Write(data); err != nil {
+		return 0, err
+	}
+	return size, nil
+}
+
+// SetStatus implements stream.Connection.
+func (c *connection) SetStatus(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status = status
+}
+
+// takeStatus returns the status of the head that is sent now, 0 if the library's is
+// right.
+func (c *connection) takeStatus() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status := c.status
+	c.status = 0
+	return status
+}
+
+// withStatus returns the start of a response with another status line. The reason
+// phrase, which is optional, is left out.
+func withStatus(data []byte, status int) []byte {
+	_, rest, _ := bytes.Cut(data, []byte("\r\n"))
+	return append(fmt.Appendf(nil, "HTTP/1.1 %03d \r\n", status), rest...)
 }
 
 // recordSent records that the library has sent n bytes. It is called with the
--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -392,7 +393,7 @@
 }
 
 // Guards against faulty framing of responses to HEAD and of responses without a
-// body, and against sending status 200 for a status without a standard text.
+// body, and against sending another status for one without a registered name.
 func TestFramingOfUnusualResponses(t *testing.T) {
 	l := startListener(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
@@ -412,5 +413,26 @@
 		require.NoError(t, err)
 		statuses = append(statuses, response.StatusCode)
 	}
-	require.Equal(t, []int{200, 500, 204, 200}, statuses)
+	require.Equal(t, []int{200, 520, 204, 200}, statuses)
+}
+
+// Guards against a status without a registered name that callers receive as another
+// one: 529 as 500, and 600 and above as 200.
+func TestStatusWithoutNameIsSentUnchanged(t *testing.T) {
+	l := startListener(t, listener.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		status, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		if err != nil {
+			return
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "body of "+r.URL.Path)
+	})
+	c, r := dial(t, l, "")
+	for _, status := range []int{200, 299, 418, 420, 499, 503, 520, 529, 599, 600, 999, 200} {
+		_, err := fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", status)
+		require.NoError(t, err)
+		response, body := readResponse(t, r)
+		require.Equal(t, status, response.StatusCode)
+		require.Equal(t, fmt.Sprintf("body of /%d", status), body)
+	}
 }
--- a/internal/connection/stream/stream.go
+++ b/internal/connection/stream/stream.go
@@ -13,8 +13,6 @@
 	maxChunkBytes = 32 << 10
 	// maxQueuedBytes is the amount of unsent data above which Write blocks.
 	maxQueuedBytes = 1 << 20
-	// statusClassSize is the number of status codes in one class.
-	statusClassSize = 100
 )
 
 // ErrClosed is returned by Write after the caller has disconnected.
@@ -27,6 +25,9 @@
 	// Wait blocks until at most limit bytes are unsent. It returns an error once
 	// the connection is closed.
 	Wait(limit int64) error
+	// SetStatus sets the status of the answer whose head is sent next, in place of
+	// the one that the library writes.
+	SetStatus(status int)
 }
 
 // Writer writes one answer. It implements http.ResponseWriter and http.Flusher.
@@ -59,16 +60,16 @@
 // Header returns the header that WriteHeader sends.
 func (w *Writer) Header() http.Header { return w.response.Header() }
 
-// WriteHeader sets the status. A status without a registered name is replaced
-// by the first one of its class, as the library would send 200 instead; RFC
-// 9110, section 15, lets a recipient treat both alike.
+// WriteHeader sets the status. The library would send 200 for a status without a
+// registered name, so it gets another one, which the connection replaces.
 func (w *Writer) WriteHeader(status int) {
 	if w.wroteHeader {
 		return
 	}
 	w.wroteHeader = true
-	if http.StatusText(status) == "" {
-		status = status / statusClassSize * statusClassSize
+	if http.StatusText(status) == "" && w.connection != nil {
+		w.connection.SetStatus(status)
+		status = http.StatusInternalServerError
 	}
 	if status == http.StatusNoContent || status == http.StatusNotModified {
 		w.bodiless = true
