Accept connections again after a lack of descriptors

Cause: the listener blocked after any error of Accept, because the library calls a failing Accept in a busy loop.

Change: errors other than a closed socket are tried again after 20 ms.

--- a/internal/connection/listener/socket.go
+++ b/internal/connection/listener/socket.go
@@ -3,11 +3,15 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 )
 
+// acceptRetryDelay is the pause after an error of Accept.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // socket is a listening socket. After stopAccepting, Accept blocks until Close,
 // because the library calls a failing Accept in a busy loop.
 type socket struct {
@@ -40,7 +44,23 @@
 	return c, err
 }
 
+// accept returns the next connection. It tries again after errors that pass, such as
+// a lack of descriptors: the library accepts nothing more after an error.
 func (s *socket) accept() (net.Conn, error) {
+	for {
+		c, err := s.acceptOnce()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		select {
+		case <-time.After(acceptRetryDelay):
+		case <-s.closed:
+			return nil, err
+		}
+	}
+}
+
+func (s *socket) acceptOnce() (net.Conn, error) {
 	accepted, err := s.Listener.Accept()
 	if err != nil {
 		return nil, err
