Serve no connection that is accepted at the end of a shutdown

What callers could see: a connection that was accepted while a shutdown closed the last ones was served, and closed without an answer (LOST; not seen in a run, found by reading for the same cause as requests on closing connections).

Cause: the check that no connection is open and the stop of the engine are two steps; a connection accepted before may be added between them.

Test: TestConnectionAcceptedAtTheEndOfAShutdownIsNotServed fails without the change (the caller got an answer of a listener that had ended).

--- /dev/null
+++ b/internal/connection/listener/ended_test.go
@@ -0,0 +1,30 @@
+package listener
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a request on a connection that is accepted while a shutdown closes
+// the last ones: it was served, and its connection closed without an answer.
+func TestConnectionAcceptedAtTheEndOfAShutdownIsNotServed(t *testing.T) {
+	var served atomic.Int32
+	l, err := New(Options{Address: "127.0.0.1:0"}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	require.NoError(t, err)
+	require.True(t, l.endIfIdle())
+	caller, err := net.Dial("tcp", l.Address())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, caller.Close()) }()
+	_, err = caller.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	require.NoError(t, err)
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = caller.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Zero(t, served.Load())
+	require.NoError(t, l.Shutdown(t.Context()))
+}
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -160,6 +160,8 @@
 	busy map[*connection]struct{}
 	// closing is true if each connection closes after its next response.
 	closing bool
+	// ended is true once no connection is left at a shutdown.
+	ended bool
 	// shutDown is true once Shutdown has been called.
 	shutDown bool
 }
@@ -270,7 +272,7 @@
 func (l *Listener) waitUntilIdle(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for !l.endIdleConnections() || l.busyCount() > 0 {
+	for !l.endIfIdle() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -290,22 +292,16 @@
 	_ = l.waitUntilIdle(ctx)
 }
 
-// endIdleConnections closes the idle connections. It reports whether no connection
-// is open.
-func (l *Listener) endIdleConnections() bool {
+// endIfIdle closes the idle connections. It reports whether none is busy or open;
+// then no connection that is still being accepted is served either.
+func (l *Listener) endIfIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	allEnded := true
+	l.ended = len(l.busy) == 0
 	for _, c := range l.open {
-		allEnded = c.endIdle() && allEnded
+		l.ended = c.endIdle() && l.ended
 	}
-	return allEnded
-}
-
-func (l *Listener) busyCount() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.busy)
+	return l.ended
 }
 
 func (l *Listener) isClosing() bool {
@@ -356,7 +352,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open[socket] = newConnection(l, socket, time.Now())
+	c := newConnection(l, socket, time.Now())
+	c.ended = l.ended
+	l.open[socket] = c
 }
 
 func (l *Listener) connection(socket *nbio.Conn) *connection {
