Record an answer without a length only if its service still lives

Cause: the end of the connection was taken for the end of the body.

Change: the sidecar's client asks whether the service still accepts connections, as routers do. If not, the outcome of the order is unknown.

Test: TestAnswerWithoutLengthOfAnEndedServiceIsNotComplete failed before.

--- a/internal/connection/listener/poller.go
+++ b/internal/connection/listener/poller.go
@@ -26,7 +26,7 @@
 	local  *os.File
 	remote *nbio.Conn
 
-	// mu serializes the waits.
+	// mu admits one wait at a time.
 	mu sync.Mutex
 	// read receives a value for each read of the poller.
 	read chan struct{}
--- a/internal/connection/serviceclient/serviceclient.go
+++ b/internal/connection/serviceclient/serviceclient.go
@@ -13,12 +13,16 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
 )
 
 const (
-	dialTimeout = 2 * time.Second
+	// closeConfirmDelay is the time after the end of a connection in which a service
+	// that has ended stops accepting connections.
+	closeConfirmDelay = 50 * time.Millisecond
+	dialTimeout       = 2 * time.Second
 	// CallTimeout bounds a call. A service that takes longer counts as failed,
 	// and the outcome of the call as unknown.
 	CallTimeout = 120 * time.Second
@@ -88,7 +92,20 @@
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "call service %s", c.address)
 	}
-	return c.read(response)
+	answer, err := c.read(response)
+	if err == nil && isCloseDelimited(response) {
+		pause.For(ctx, closeConfirmDelay)
+		if !c.Reachable(ctx) {
+			return Answer{}, errors.Newf("service %s ended with an answer that has no length", c.address)
+		}
+	}
+	return answer, err
+}
+
+// isCloseDelimited reports whether only the end of the connection delimits the body.
+// It ends in the same way if the service is killed.
+func isCloseDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
 }
 
 func (c *Client) request(ctx context.Context, r *attempt.Request) (*http.Request, error) {
--- a/internal/connection/serviceclient/serviceclient_test.go
+++ b/internal/connection/serviceclient/serviceclient_test.go
@@ -107,3 +107,32 @@
 	require.Equal(t, "/bookings/7", answer.Header.Get("Location"))
 	require.Equal(t, "booked", string(answer.Body))
 }
+
+// Guards against half of an answer without a length that is recorded as the complete
+// one after the service was killed.
+func TestAnswerWithoutLengthOfAnEndedServiceIsNotComplete(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		go func() {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(connection))
+			_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\n\r\nhalf"))
+			if ended {
+				_ = listener.Close()
+			}
+			_ = connection.Close()
+		}()
+		answer, err := serviceclient.New(listener.Addr().String()).Call(context.Background(), booking())
+		if ended {
+			require.ErrorContains(t, err, "no length")
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "half", string(answer.Body))
+	}
+}
