--- a/internal/request/forwarding/stopping.go
+++ b/internal/request/forwarding/stopping.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/flamingohold/flamingohold/internal/version/route"
 )
 
@@ -30,10 +32,17 @@
 // process exits. Another router can complete it.
 func (c *call) refuseUnfinishable() *refusal {
 	stop, stopping := c.Stopping()
-	if !stopping || c.latestEnd(stop).Before(stop.End.Add(-stopMargin)) {
+	if !stopping {
+		return nil
+	}
+	latestEnd := c.latestEnd(stop)
+	if latestEnd.Before(stop.End.Add(-stopMargin)) {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter + c.TimeUntilAvailable(c.received)}
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter + c.TimeUntilAvailable(c.received),
+		err: errors.Newf("may take %s, but the process exits in %s", latestEnd.Sub(c.received), stop.End.Sub(c.received)),
+	}
 }
 
 // latestEnd returns the latest time at which the request is expected to end. Only
