Group the packages of internal/process by the role that uses them

internal/process held 53 packages in one folder, so that a reader could not tell which belong to routers, gateways or sidecars.

--- a/internal/capacity/measure/quota.go
+++ b/internal/capacity/measure/quota.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/quota"
-	"github.com/flamingohold/flamingohold/internal/process/quotaexchange"
-	"github.com/flamingohold/flamingohold/internal/process/quotahome"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/quota"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/quotaexchange"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/quotahome"
 	"github.com/flamingohold/flamingohold/internal/version/account"
 )
 
--- a/internal/capacity/measure/routing.go
+++ b/internal/capacity/measure/routing.go
@@ -5,10 +5,10 @@
 	"strings"
 	"time"
 
+	"github.com/flamingohold/flamingohold/internal/process/gateway/membership"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/routing"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/load"
-	"github.com/flamingohold/flamingohold/internal/process/membership"
-	"github.com/flamingohold/flamingohold/internal/process/routing"
 	"github.com/flamingohold/flamingohold/internal/version/fleet"
 )
 
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/gateway/membership/membership_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/flamingohold/flamingohold/internal/process/gateway/membership"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/load"
-	"github.com/flamingohold/flamingohold/internal/process/membership"
 	"github.com/flamingohold/flamingohold/internal/version/fleet"
 )
 
--- a/internal/process/quota/bucket.go
+++ b/internal/process/gateway/quota/bucket.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
 	"github.com/flamingohold/flamingohold/internal/version/account"
 )
 
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/gateway/quota/quota_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
 	"github.com/flamingohold/flamingohold/internal/version/account"
 )
 
--- a/internal/process/quotaexchange/quotaexchange.go
+++ b/internal/process/gateway/quotaexchange/quotaexchange.go
@@ -14,10 +14,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/quota"
-	"github.com/flamingohold/flamingohold/internal/process/quotahome"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/quota"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/quotahome"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
 
--- a/internal/process/quotaexchange/quotaexchange_test.go
+++ b/internal/process/gateway/quotaexchange/quotaexchange_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/quota"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/quota"
 	"github.com/flamingohold/flamingohold/internal/version/account"
 )
 
--- a/internal/process/quotahome/accountstate.go
+++ b/internal/process/gateway/quotahome/accountstate.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
 )
 
 // accountState is the division of one account's limits among the gateways.
--- a/internal/process/quotahome/quotahome.go
+++ b/internal/process/gateway/quotahome/quotahome.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/flamingohold/flamingohold/internal/process/demand"
+	"github.com/flamingohold/flamingohold/internal/process/gateway/demand"
 )
 
 const (
--- a/internal/process/deltacodec/deltacodec_test.go
+++ b/internal/process/router/deltacodec/deltacodec_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/flamingohold/flamingohold/internal/process/deltacodec"
+	"github.com/flamingohold/flamingohold/internal/process/router/deltacodec"
 )
 
 const maxBytes = 1 << 20
--- a/internal/process/fleetview/fleetview_test.go
+++ b/internal/process/router/fleetview/fleetview_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
--- a/internal/process/fleetview/update.go
+++ b/internal/process/router/fleetview/update.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
--- a/internal/process/mirror/encoding.go
+++ b/internal/process/router/mirror/encoding.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
-	"github.com/flamingohold/flamingohold/internal/process/deltacodec"
+	"github.com/flamingohold/flamingohold/internal/process/router/deltacodec"
 )
 
 // maxValueBytes bounds a value that is decoded.
--- a/internal/process/peers/decode_test.go
+++ b/internal/process/router/peers/decode_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // FuzzExchange handles what a faulty router may send, or what is not from a router.
--- a/internal/process/peers/exchange.go
+++ b/internal/process/router/peers/exchange.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/drainnotice"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 // message is the request and the response of an exchange between two routers.
--- a/internal/process/peers/failures.go
+++ b/internal/process/router/peers/failures.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
 )
 
 // failures logs the first of a series of failed exchanges with a peer and the
--- a/internal/process/peers/peer.go
+++ b/internal/process/router/peers/peer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/peernames"
+	"github.com/flamingohold/flamingohold/internal/process/router/peernames"
 )
 
 // forgetTime is how long the heartbeat of a lost peer is remembered, so that
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/router/peers/peers_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // node is the mirror, the peers and the server of one router.
--- a/internal/process/peers/shared_test.go
+++ b/internal/process/router/peers/shared_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 func noLimits() *statedlimit.Limits {
--- a/internal/process/peers/smalllinks_test.go
+++ b/internal/process/router/peers/smalllinks_test.go
@@ -18,9 +18,9 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 const (
--- a/internal/process/peers/sources_test.go
+++ b/internal/process/router/peers/sources_test.go
@@ -9,8 +9,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // newPeer returns a router with the address that knows no other.
--- a/internal/process/promptblock/list_test.go
+++ b/internal/process/router/promptblock/list_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/process/ratepermit/demand_test.go
+++ b/internal/process/router/ratepermit/demand_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 const (
--- a/internal/process/ratepermit/permits_test.go
+++ b/internal/process/router/ratepermit/permits_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 const (
--- a/internal/process/relocation/relocation.go
+++ b/internal/process/router/relocation/relocation.go
@@ -11,8 +11,8 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
-	"github.com/flamingohold/flamingohold/internal/process/selection"
-	"github.com/flamingohold/flamingohold/internal/process/sendgate"
+	"github.com/flamingohold/flamingohold/internal/process/router/selection"
+	"github.com/flamingohold/flamingohold/internal/process/router/sendgate"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
--- a/internal/process/relocation/relocation_test.go
+++ b/internal/process/router/relocation/relocation_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
-	"github.com/flamingohold/flamingohold/internal/process/sendgate"
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
-	"github.com/flamingohold/flamingohold/internal/process/upstreampause"
+	"github.com/flamingohold/flamingohold/internal/process/router/ratepermit"
+	"github.com/flamingohold/flamingohold/internal/process/router/sendgate"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/upstreampause"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
--- a/internal/process/reporterclient/reporterclient.go
+++ b/internal/process/router/reporterclient/reporterclient.go
@@ -19,7 +19,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/reporter"
-	"github.com/flamingohold/flamingohold/internal/process/reportersubset"
+	"github.com/flamingohold/flamingohold/internal/process/router/reportersubset"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
 
--- a/internal/process/sendgate/sendgate.go
+++ b/internal/process/router/sendgate/sendgate.go
@@ -8,8 +8,8 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
-	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/ratepermit"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 // Directory knows which upstreams leave or are cold.
--- a/internal/process/sendgate/sendgate_test.go
+++ b/internal/process/router/sendgate/sendgate_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
-	"github.com/flamingohold/flamingohold/internal/process/ratepermit"
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/ratepermit"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 // restrictions are the restrictions on one upstream.
--- a/internal/process/sharedrate/sharedrate_test.go
+++ b/internal/process/router/sharedrate/sharedrate_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/sharedrate"
+	"github.com/flamingohold/flamingohold/internal/process/router/sharedrate"
 )
 
 const (
--- a/internal/process/admission/admission.go
+++ b/internal/process/sidecar/admission/admission.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/outputlength"
-	"github.com/flamingohold/flamingohold/internal/process/ramp"
-	"github.com/flamingohold/flamingohold/internal/process/stepcurve"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/outputlength"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ramp"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/stepcurve"
 	"github.com/flamingohold/flamingohold/internal/request/work"
 	"github.com/flamingohold/flamingohold/internal/version/fleet"
 )
--- a/internal/process/admission/steps.go
+++ b/internal/process/sidecar/admission/steps.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/stepcurve"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/stepcurve"
 )
 
 const (
--- a/internal/process/sidecar/endpoints.go
+++ b/internal/process/sidecar/endpoints.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingohold/flamingohold/internal/connection/engine"
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
--- a/internal/process/sidecar/execute.go
+++ b/internal/process/sidecar/execute.go
@@ -7,7 +7,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/serviceclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
--- a/internal/process/sidecar/handover.go
+++ b/internal/process/sidecar/handover.go
@@ -16,10 +16,10 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/stall"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/handover"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
--- a/internal/process/handover/handover.go
+++ b/internal/process/sidecar/handover/handover.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
-	"github.com/flamingohold/flamingohold/internal/process/quarantine"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/quarantine"
 )
 
 const (
--- a/internal/process/handover/handover_test.go
+++ b/internal/process/sidecar/handover/handover_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/handover"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/handover"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/process/ledger/bench_test.go
+++ b/internal/process/sidecar/ledger/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 )
 
 // BenchmarkOrder measures offering, starting and finishing one attempt with an
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/sidecar/ledger/ledger_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 )
 
--- a/internal/process/sidecar/models.go
+++ b/internal/process/sidecar/models.go
@@ -10,7 +10,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/enginecontrol"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
-	"github.com/flamingohold/flamingohold/internal/process/placement"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/placement"
 	"github.com/flamingohold/flamingohold/internal/version/service"
 )
 
--- a/internal/process/sidecar/offers.go
+++ b/internal/process/sidecar/offers.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/load"
-	"github.com/flamingohold/flamingohold/internal/process/quarantine"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/quarantine"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/work"
 	"github.com/flamingohold/flamingohold/internal/version/service"
--- a/internal/process/sidecar/orders_test.go
+++ b/internal/process/sidecar/orders_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/load"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
 	"github.com/flamingohold/flamingohold/internal/version/fleet"
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/sidecar/quarantine/quarantine_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/quarantine"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/quarantine"
 	"github.com/flamingohold/flamingohold/pkg/orderkey"
 )
 
--- a/internal/process/reportlimit/reportlimit_test.go
+++ b/internal/process/sidecar/reportlimit/reportlimit_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/reportlimit"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/reportlimit"
 )
 
 // Guards against control traffic that grows with the number of streams. The 349
--- a/internal/process/sidecar/run_test.go
+++ b/internal/process/sidecar/run_test.go
@@ -13,11 +13,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/handover"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/load"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/handover"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
 	"github.com/flamingohold/flamingohold/pkg/problem"
--- a/internal/process/sidecar/streams.go
+++ b/internal/process/sidecar/streams.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/flamingohold/flamingohold/internal/process/ledger"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
+	"github.com/flamingohold/flamingohold/internal/process/sidecar/ledger"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/tokenlog"
 	"github.com/flamingohold/flamingohold/pkg/problem"
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -10,8 +10,8 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/selection"
-	"github.com/flamingohold/flamingohold/internal/process/sendgate"
+	"github.com/flamingohold/flamingohold/internal/process/router/selection"
+	"github.com/flamingohold/flamingohold/internal/process/router/sendgate"
 )
 
 // outcome is the result of sending the request to one upstream.
--- a/internal/request/forwarding/broken_test.go
+++ b/internal/request/forwarding/broken_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/router/relocation"
 )
 
 // raw returns an upstream that writes the content type and the body, in chunks or not.
--- a/internal/request/forwarding/leaving_test.go
+++ b/internal/request/forwarding/leaving_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
-	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/router/relocation"
 )
 
 // leavingUpstream returns an upstream that states in its answers that it leaves, and
--- a/internal/request/forwarding/prompts.go
+++ b/internal/request/forwarding/prompts.go
@@ -11,7 +11,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // provenEvents is the number of events after which an engine has survived the
--- a/internal/request/forwarding/prompts_test.go
+++ b/internal/request/forwarding/prompts_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/promptblock"
+	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
--- a/internal/request/forwarding/restriction_test.go
+++ b/internal/request/forwarding/restriction_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/statedlimit"
+	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 )
 
 // limited returns an upstream that states the limit, unless it is empty, and
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -11,7 +11,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/router/relocation"
 	"github.com/flamingohold/flamingohold/internal/request/eventstream"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
 )
--- a/internal/request/forwarding/streaming_test.go
+++ b/internal/request/forwarding/streaming_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingohold/flamingohold/internal/process/relocation"
+	"github.com/flamingohold/flamingohold/internal/process/router/relocation"
 )
 
 // Guards against a truncated stream that is terminated as complete. A stopping
