--- a/internal/process/reservation/request.go
+++ b/internal/process/reservation/request.go
@@ -16,6 +16,10 @@
 	// Headroom is the share of the engine's memory that must stay free beside the
 	// request, from 0 to 1.
 	Headroom float64 `json:"headroom"`
+	// ConcurrencyLimit is that of the engine as its entry in the list of upstreams
+	// states it, 0 if unknown. The engine's report does not contain it, and a reporter
+	// does not read the list.
+	ConcurrencyLimit int `json:"concurrency_limit,omitempty"`
 }
 
 // Decision is the answer to a Request.
