Grant reservations at the reporter

POST /v1/reservations and /v1/reservations/release, fed by each report that the reporter polls. A report counts as taken when it was requested, so that a slow poll cannot end a reservation too early.

The published line is unchanged. Adding the open reservations to it was ruled out: a report cannot end a reservation in its first 100 ms, nor one whose arrival coincides with the end of a run, so that routers would see the prompt twice, and the router that sent it, which adds its own work, three times.

The log has the first refusal of an identifier and its grant, with the number of refusals in between. Event 6060 leaves numbers for events of other parts.

--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -197,6 +197,11 @@
 		"An upstream refused the request and wants no further one from this process for the time that is counted; other upstreams are used meanwhile.",
 		"Add capacity to the service if its upstreams ask for pauses often.",
 	}
+	ReservationDecided = Event{
+		6060, "reservation_decided", zerolog.InfoLevel,
+		"A reporter granted or refused room at its upstream; the line contains the inputs of the decision and their age. Further refusals of the same request are counted in the line of its grant.",
+		"Add capacity to the service if reporters refuse often.",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -219,6 +224,6 @@
 		ItemsNotReceived, ItemsReceivedAgain,
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
 		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused, StoreReadCompletely, StoreRestored, ItemOutdated,
-		UpstreamStatedLeaving, UpstreamStatementInvalid, UpstreamAskedPause,
+		UpstreamStatedLeaving, UpstreamStatementInvalid, UpstreamAskedPause, ReservationDecided,
 	}
 }
--- a/internal/process/reporter/message.go
+++ b/internal/process/reporter/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
 )
 
 const (
@@ -17,10 +18,30 @@
 	ReleasePath = "/v1/turns/release"
 	// SuspicionPath reports that a router suspects the upstream.
 	SuspicionPath = "/v1/doubts"
+	// ReservationsPath asks for room at the upstream. The body is a
+	// reservation.Request and the answer a ReservationAnswer, with status 200 if the
+	// request is granted and 503 if it is refused.
+	ReservationsPath = "/v1/reservations"
+	// ReservationReleasePath ends a reservation early. The body contains its id.
+	ReservationReleasePath = "/v1/reservations/release"
 	// HeartbeatInterval is the longest time between two lines of the stream.
 	HeartbeatInterval = 500 * time.Millisecond
 )
 
+// ReservationAnswer is the answer to a request for room.
+type ReservationAnswer struct {
+	// Unconfirmed is true if the request is granted, but nothing is reserved.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	// Reason is why the request is refused, empty if it is granted.
+	Reason string `json:"reason,omitempty"`
+	// RetryInMillis is when a refused request may be granted, 0 if unknown.
+	RetryInMillis int64 `json:"retry_in_ms,omitempty"`
+}
+
+func newReservationAnswer(d reservation.Decision) ReservationAnswer {
+	return ReservationAnswer{Unconfirmed: d.Unconfirmed, Reason: d.Reason, RetryInMillis: d.RetryIn.Milliseconds()}
+}
+
 // Line is the complete state of a report. Each message of the stream holds only
 // the fields that have changed since the previous message, so that decoding a
 // message into the previous line yields the current one.
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -31,7 +31,7 @@
 	unreachableAfterFailures = 3
 	// turnTimeout bounds the wait for a turn.
 	turnTimeout = 3 * time.Second
-	// maxMessageBytes bounds the body of a request about a turn.
+	// maxMessageBytes bounds the body of a request about a turn or a reservation.
 	maxMessageBytes = 4 << 10
 )
 
@@ -48,6 +48,8 @@
 	telemetry *telemetry.Telemetry
 	clock     func() time.Time
 	turns     *turnqueue.Queue
+	// reservations has its own lock.
+	reservations *reservations
 
 	mu sync.Mutex
 	// line is the latest report, and known is true once there is one. changed is
@@ -69,7 +71,7 @@
 	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: callTimeout}, time.Now)
 	return &Reporter{
 		settings: s, upstream: upstream(pool), log: log, telemetry: t, clock: time.Now,
-		turns: turnqueue.New(), changed: make(chan struct{}),
+		turns: turnqueue.New(), reservations: newReservations(log, t.Scope()), changed: make(chan struct{}),
 	}, nil
 }
 
@@ -85,6 +87,8 @@
 	mux.HandleFunc(TryAcquirePath, r.serveTry)
 	mux.HandleFunc(ReleasePath, r.serveRelease)
 	mux.HandleFunc(SuspicionPath, r.serveSuspicion)
+	mux.HandleFunc("POST "+ReservationsPath, r.serveReserve)
+	mux.HandleFunc("POST "+ReservationReleasePath, r.serveReservationRelease)
 	reports, err := listener.New(listener.Options{Address: r.settings.ReporterAddress}, mux)
 	if err != nil {
 		return err
@@ -123,6 +127,7 @@
 			return
 		case <-ticker.C:
 		}
+		requestedAt := r.clock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		report, err := r.upstream.Report(callCtx, r.settings.UpstreamAddress)
 		cancel()
@@ -135,6 +140,7 @@
 			line.Unreachable = true
 		} else {
 			failures = 0
+			r.reservations.observe(report, requestedAt)
 		}
 		published = r.publish(line, published)
 	}
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
@@ -52,12 +56,18 @@
 
 // serve runs a reporter until the test ends and returns its stream of reports.
 func serve(t *testing.T, upstream *scriptedUpstream) *reportStream {
+	t.Helper()
+	return serveWith(t, upstream, eventlog.Discard(), time.Now)
+}
+
+func serveWith(t *testing.T, upstream *scriptedUpstream, log *eventlog.Log, clock func() time.Time) *reportStream {
 	t.Helper()
 	tel, err := telemetry.New(t.Context(), &settings.Settings{Name: "reporter"})
 	require.NoError(t, err)
 	s := hostsettings.Settings{UpstreamAddress: "127.0.0.1:1", ReporterAddress: reporterAddress, MetricsAddress: metricsAddress}
-	r, err := New(s, func(*upstreamclient.Pool) Upstream { return upstream }, eventlog.Discard(), tel)
+	r, err := New(s, func(*upstreamclient.Pool) Upstream { return upstream }, log, tel)
 	require.NoError(t, err)
+	r.clock = clock
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
@@ -90,11 +100,19 @@
 }
 
 func post(t *testing.T, path, body string) int {
+	t.Helper()
+	status, _ := call(t, path, body)
+	return status
+}
+
+func call(t *testing.T, path, body string) (status int, answer string) {
 	t.Helper()
 	response, err := http.Post("http://"+reporterAddress+path, "application/json", strings.NewReader(body)) //nolint:noctx // a test
 	require.NoError(t, err)
+	content, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
-	return response.StatusCode
+	return response.StatusCode, strings.TrimSpace(string(content))
 }
 
 // Guards against routers that are not notified at once that the reporter's
@@ -125,3 +143,40 @@
 	require.Equal(t, http.StatusOK, post(t, TryAcquirePath, `{"id":"r2"}`))
 	require.Equal(t, http.StatusBadRequest, post(t, TryAcquirePath, `{`))
 }
+
+// Guards against room that two routers get by the same report, against a log that is
+// filled by requests that are tried again, against requests that end the reporter or
+// reserve without a name, and against lines of the stream that count a prompt twice.
+func TestReservationsAreGrantedByReports(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	defer func() { _ = log.Close() }()
+	now := time.Now()
+	upstream := &scriptedUpstream{report: directory.Report{Incarnation: 7, MemoryUsed: 1000, MemoryTotal: 10000}}
+	stream := serveWith(t, upstream, eventlog.New(log, zerolog.InfoLevel, ""), func() time.Time { return now })
+	stream.await(t, func(l Line) bool { return l.MemoryTotal == 10000 })
+	for _, step := range []struct {
+		path, body string
+		status     int
+		answer     string
+	}{
+		{ReservationsPath, `{"id":"r1","prompt_tokens":6000,"headroom":0.12}`, 200, `{}`},
+		{ReservationsPath, `{"id":"r1","prompt_tokens":6000,"headroom":0.12}`, 200, `{}`},
+		{ReservationsPath, `{"id":"r2","prompt_tokens":6000}`, 503, `{"reason":"memory"}`},
+		{ReservationsPath, `{"id":"r2","prompt_tokens":6000}`, 503, `{"reason":"memory"}`},
+		{ReservationReleasePath, `{"id":"r1"}`, 200, ``},
+		{ReservationsPath, `{"id":"r2","prompt_tokens":6000}`, 200, `{}`},
+		{ReservationsPath, `{"id":""}`, 400, `the id of a reservation is empty or too long`},
+		{ReservationsPath, `{"id":"r3","prompt_tokens":1e300}`, 400, `the request about a reservation cannot be decoded`},
+	} {
+		status, answer := call(t, step.path, step.body)
+		require.Equal(t, step.status, status, step.body)
+		require.Equal(t, step.answer, answer, step.body)
+	}
+	upstream.set(directory.Report{Incarnation: 7, MemoryUsed: 1000, MemoryTotal: 10000, Waiting: 1}, nil)
+	require.Equal(t, 1000, stream.await(t, func(l Line) bool { return l.Waiting == 1 }).MemoryUsed)
+	lines, err := os.ReadFile(log.Name())
+	require.NoError(t, err)
+	require.Equal(t, 3, strings.Count(string(lines), "reservation_decided"), "%s", lines)
+	require.Equal(t, 1, strings.Count(string(lines), `"refusals":2`), "%s", lines)
+}
