Ask reporters for reservations

Client.Reserve and ReleaseReservation over the call that turns use. Whatever is not a reporter's own refusal is granted and Unconfirmed: not connected, no answer in 60 ms, any other status, a body that cannot be decoded, or status 503 without a reason, which a listener or an intermediary may give.

The error of a turn that is not granted now reads "the reporter refused the request", since both calls share it.

go test -race -count=3 ./internal/process/router/reporterclient passes.

--- a/internal/process/router/reporterclient/reporterclient.go
+++ b/internal/process/router/reporterclient/reporterclient.go
@@ -19,6 +19,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/reporter"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
 	"github.com/flamingohold/flamingohold/internal/process/router/reportersubset"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
@@ -35,17 +36,23 @@
 	// turnTimeout bounds the wait for a turn, after which the copy starts without
 	// one.
 	turnTimeout = 2500 * time.Millisecond
-	// tryTimeout bounds the attempt to acquire a free turn.
+	// tryTimeout bounds the attempt to acquire a free turn, and the request for a
+	// reservation.
 	tryTimeout = 60 * time.Millisecond
 	// followedAfterUse is how long after its last use an upstream is followed that is not
 	// in this router's subset.
 	followedAfterUse = 10 * time.Second
-	// releaseTimeout bounds the calls that release a turn or share a suspicion.
+	// releaseTimeout bounds the calls that release a turn or a reservation, or share a
+	// suspicion.
 	releaseTimeout = 500 * time.Millisecond
+	// maxRetryIn bounds what a reporter states as the time until a refused reservation
+	// may be granted.
+	maxRetryIn = 10 * time.Second
 )
 
-// errTurnTaken is returned if the turn is held by another copy.
-var errTurnTaken = errors.New("another copy holds the turn")
+// errRefused is returned if the turn is held by another copy, or if there is no room for
+// a reservation.
+var errRefused = errors.New("the reporter refused the request")
 
 // Client is a client of reporters. It is safe for concurrent use.
 type Client struct {
@@ -276,7 +283,7 @@
 func (c *Client) sendSuspect(v directory.View) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := c.post(ctx, c.reporterAddress(v.Address), reporter.SuspicionPath, turnqueue.Request{}); err != nil {
+	if _, err := c.post(ctx, c.reporterAddress(v.Address), reporter.SuspicionPath, turnqueue.Request{}); err != nil {
 		c.log.Emit(eventlog.SuspicionNotShared).Str("upstream", v.ID).Err(err).Send()
 	}
 }
@@ -314,7 +321,7 @@
 	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
 	turn := turnqueue.Request{ID: id, Priority: priority}
-	if err := c.post(ctx, c.reporterAddress(source.Address), reporter.AcquirePath, turn); err != nil {
+	if _, err := c.post(ctx, c.reporterAddress(source.Address), reporter.AcquirePath, turn); err != nil {
 		c.log.Emit(eventlog.TurnNotGranted).Str("request_id", id).Str("upstream", source.ID).Err(err).Send()
 		return func() {}
 	}
@@ -330,10 +337,10 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	turn := turnqueue.Request{ID: id}
-	switch err := c.post(ctx, c.reporterAddress(target.Address), reporter.TryAcquirePath, turn); {
+	switch _, err := c.post(ctx, c.reporterAddress(target.Address), reporter.TryAcquirePath, turn); {
 	case err == nil:
 		return func() { c.release(target, turn) }, true
-	case errors.Is(err, errTurnTaken):
+	case errors.Is(err, errRefused):
 		return func() {}, false
 	default:
 		return func() {}, true
@@ -350,31 +357,76 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	// A turn that is not released expires.
-	_ = c.post(ctx, c.reporterAddress(source.Address), reporter.ReleasePath, turn)
+	_, _ = c.post(ctx, c.reporterAddress(source.Address), reporter.ReleasePath, turn)
 }
 
-func (c *Client) post(ctx context.Context, address, path string, turn turnqueue.Request) error {
-	body, err := json.Marshal(turn)
+// Reserve asks the upstream's reporter for room for a request. The request gets the
+// concurrency limit of the view. If the reporter is not connected, does not answer in
+// tryTimeout or gives an unexpected answer, the decision is granted and Unconfirmed; the
+// reporter may have reserved nonetheless.
+func (c *Client) Reserve(ctx context.Context, v directory.View, r reservation.Request) reservation.Decision {
+	unconfirmed := reservation.Decision{Granted: true, Unconfirmed: true}
+	if !c.isConnected(v) {
+		return unconfirmed
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	r.ConcurrencyLimit = v.ConcurrencyLimit
+	content, err := c.post(ctx, c.reporterAddress(v.Address), reporter.ReservationsPath, r)
+	refused := errors.Is(err, errRefused)
+	if err != nil && !refused {
+		return unconfirmed
+	}
+	var answer reporter.ReservationAnswer
+	// Status 503 without a reason is not a reporter's refusal.
+	if json.Unmarshal(content, &answer) != nil || refused && answer.Reason == "" {
+		return unconfirmed
+	}
+	if !refused {
+		return reservation.Decision{Granted: true, Unconfirmed: answer.Unconfirmed}
+	}
+	retryIn := min(maxRetryIn.Milliseconds(), max(0, answer.RetryInMillis))
+	return reservation.Decision{Reason: answer.Reason, RetryIn: time.Duration(retryIn) * time.Millisecond}
+}
+
+// ReleaseReservation ends the reservation of a request that is not sent to the upstream
+// or has not run there. It returns at once; a reservation that is not released expires.
+func (c *Client) ReleaseReservation(v directory.View, id string) {
+	if !c.isConnected(v) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_, _ = c.post(ctx, c.reporterAddress(v.Address), reporter.ReservationReleasePath, reservation.Request{ID: id})
+	}()
+}
+
+// post sends the message as JSON and returns the content of the answer. The error is
+// errRefused for an answer with status 503.
+func (c *Client) post(ctx context.Context, address, path string, message any) ([]byte, error) {
+	body, err := json.Marshal(message)
 	if err != nil {
-		return errors.Wrap(err, "encode turn")
+		return nil, errors.Wrapf(err, "encode message for %s", path)
 	}
 	response, err := c.pool.Send(ctx, address, &upstreamclient.Request{
 		Method: http.MethodPost, Target: path, Host: address, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}},
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer response.Close()
-	if _, err := response.Body(1 << 10); err != nil {
-		return err
+	content, err := response.Body(1 << 10)
+	if err != nil {
+		return nil, err
 	}
 	switch response.Status {
 	case http.StatusOK:
-		return nil
+		return content, nil
 	case http.StatusServiceUnavailable:
-		return errTurnTaken
+		return content, errRefused
 	default:
-		return errors.Newf("reporter %s answered with status %d", address, response.Status)
+		return nil, errors.Newf("reporter %s answered with status %d", address, response.Status)
 	}
 }
