Answer reservations with a length

The answer was sent in chunks, 164 bytes for a refusal. go test -race -count=3 ./internal/process/reporter and ./internal/process/router/reporterclient pass.

--- a/internal/process/reporter/reservations.go
+++ b/internal/process/reporter/reservations.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -136,10 +137,16 @@
 	if !decision.Granted {
 		status = http.StatusServiceUnavailable
 	}
+	content, err := json.Marshal(newReservationAnswer(decision))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	w.WriteHeader(status)
 	// A router that does not receive the answer proceeds as without reservations.
-	_ = json.NewEncoder(w).Encode(newReservationAnswer(decision))
+	_, _ = w.Write(content)
 }
 
 // serveReservationRelease releases a reservation.
