--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
@@ -55,19 +55,16 @@
 }
 
 // serve runs a reporter until the test ends and returns its stream of reports.
-func serve(t *testing.T, upstream *scriptedUpstream) *reportStream {
-	t.Helper()
-	return serveWith(t, upstream, eventlog.Discard(), time.Now)
-}
-
-func serveWith(t *testing.T, upstream *scriptedUpstream, log *eventlog.Log, clock func() time.Time) *reportStream {
+func serve(t *testing.T, upstream *scriptedUpstream, options ...func(*Reporter)) *reportStream {
 	t.Helper()
 	tel, err := telemetry.New(t.Context(), &settings.Settings{Name: "reporter"})
 	require.NoError(t, err)
 	s := hostsettings.Settings{UpstreamAddress: "127.0.0.1:1", ReporterAddress: reporterAddress, MetricsAddress: metricsAddress}
-	r, err := New(s, func(*upstreamclient.Pool) Upstream { return upstream }, log, tel)
+	r, err := New(s, func(*upstreamclient.Pool) Upstream { return upstream }, eventlog.Discard(), tel)
 	require.NoError(t, err)
-	r.clock = clock
+	for _, option := range options {
+		option(r)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
@@ -148,12 +145,11 @@
 // filled by requests that are tried again, against requests that end the reporter or
 // reserve without a name, and against lines of the stream that count a prompt twice.
 func TestReservationsAreGrantedByReports(t *testing.T) {
-	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
-	require.NoError(t, err)
-	defer func() { _ = log.Close() }()
+	var log bytes.Buffer
+	decisions := newReservations(eventlog.New(&log, zerolog.InfoLevel, ""), tally.NoopScope)
 	now := time.Now()
 	upstream := &scriptedUpstream{report: directory.Report{Incarnation: 7, MemoryUsed: 1000, MemoryTotal: 10000}}
-	stream := serveWith(t, upstream, eventlog.New(log, zerolog.InfoLevel, ""), func() time.Time { return now })
+	stream := serve(t, upstream, func(r *Reporter) { r.reservations, r.clock = decisions, func() time.Time { return now } })
 	stream.await(t, func(l Line) bool { return l.MemoryTotal == 10000 })
 	for _, step := range []struct {
 		path, body string
@@ -175,8 +171,8 @@
 	}
 	upstream.set(directory.Report{Incarnation: 7, MemoryUsed: 1000, MemoryTotal: 10000, Waiting: 1}, nil)
 	require.Equal(t, 1000, stream.await(t, func(l Line) bool { return l.Waiting == 1 }).MemoryUsed)
-	lines, err := os.ReadFile(log.Name())
-	require.NoError(t, err)
-	require.Equal(t, 3, strings.Count(string(lines), "reservation_decided"), "%s", lines)
-	require.Equal(t, 1, strings.Count(string(lines), `"refusals":2`), "%s", lines)
+	decisions.mu.Lock()
+	defer decisions.mu.Unlock()
+	require.Equal(t, 3, strings.Count(log.String(), "reservation_decided"))
+	require.Equal(t, 1, strings.Count(log.String(), `"refusals":2`))
 }
--- a/internal/process/reservation/reservations_test.go
+++ b/internal/process/reservation/reservations_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -35,112 +34,93 @@
 	return Request{ID: id, PromptTokens: prompt, OutputTokens: 200, Headroom: headroom}
 }
 
-// model is an engine with its granted requests, which arrive within 800 ms of their
-// grants or never, in any order.
-type model struct {
-	*Reservations
-	now, reported time.Time
-	serial        int
-	// expected and running hold the granted requests before and after they arrive.
-	expected, running map[string]*work
-	// growth holds the tokens by which the runs grew before each report.
-	growth map[time.Time]int
-}
-
+// work is a granted request, which arrives within 800 ms of its grant or never.
 type work struct {
+	id        string
 	tokens    int
 	grantedAt time.Time
+	running   bool
 }
 
-func newModel() *model {
-	return &model{
-		Reservations: New(), now: start, expected: make(map[string]*work), running: make(map[string]*work), growth: make(map[time.Time]int),
-	}
-}
-
-func total(works map[string]*work) (tokens int) {
-	for _, w := range works {
-		tokens += w.tokens
-	}
-	return tokens
-}
-
-func draw(t *rapid.T, works map[string]*work, label string) string {
-	ids := slices.Sorted(maps.Keys(works))
-	return rapid.SampledFrom(append(ids, "")).Draw(t, label)
+// model is an engine with the granted work, in any order of events.
+type model struct {
+	*Reservations
+	now, reported time.Time
+	works         []work
+	// growth holds the tokens by which the runs grew before each recent report.
+	growth map[time.Time]int
 }
 
-// step makes a random step of callers, the engine or time.
 func (m *model) step(t *rapid.T) {
-	expected := draw(t, m.expected, "expected")
-	switch rapid.IntRange(0, 6).Draw(t, "step") {
-	case 0:
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 60_000).Draw(t, "us")) * time.Microsecond)
+	m.works = slices.DeleteFunc(m.works, func(w work) bool { return !w.running && m.now.Sub(w.grantedAt) > 800*time.Millisecond })
+	i := rapid.IntRange(0, max(0, len(m.works)-1)).Draw(t, "work")
+	switch step := rapid.IntRange(0, 4).Draw(t, "step"); {
+	case step == 0 || m.now.Sub(m.reported) > 100*time.Millisecond:
 		m.observe(rapid.IntRange(0, 4).Draw(t, "growth"))
-	case 1, 2:
-		m.now = m.now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
-	case 3:
+	case step <= 2 || len(m.works) == 0:
 		m.reserve(t, prompts.Draw(t, "prompt"), headrooms.Draw(t, "headroom"))
-	case 4:
-		if expected != "" {
-			m.running[expected] = m.expected[expected]
-			delete(m.expected, expected)
-		}
-	case 5:
-		delete(m.running, draw(t, m.running, "running"))
-	case 6:
-		m.Release(expected)
-		delete(m.expected, expected)
-	}
-	for id, w := range m.expected {
-		if m.now.Sub(w.grantedAt) > 800*time.Millisecond {
-			delete(m.expected, id)
+	case step == 3:
+		m.works[i].running = true
+	default:
+		if !m.works[i].running {
+			m.Release(m.works[i].id)
 		}
-	}
-	if m.now.Sub(m.reported) > 100*time.Millisecond {
-		m.observe(0)
+		m.works = slices.Delete(m.works, i, i+1)
 	}
 }
 
 func (m *model) observe(growth int) {
-	for _, w := range m.running {
-		w.tokens += growth
+	running, used := 0, 0
+	for i := range m.works {
+		if w := &m.works[i]; w.running {
+			w.tokens += growth
+			running++
+			used += w.tokens
+		}
 	}
-	m.growth[m.now] += growth * len(m.running)
+	m.growth[m.now] = growth * running
 	m.reported = m.now
-	m.Observe(engineReport(len(m.running), total(m.running)), m.now)
+	m.Observe(engineReport(running, used), m.now)
 }
 
-// reserve reserves for a new request and checks what is granted. A repeated identifier
-// must be granted without a second reservation.
+// reserve reserves for a new request and checks what is granted.
 func (m *model) reserve(t *rapid.T, prompt int, headroom float64) {
-	m.serial++
-	r := request(fmt.Sprint(m.serial), prompt, headroom)
-	r.ConcurrencyLimit = slots
+	r := request(m.now.String(), prompt, headroom)
+	r.Priority, r.ConcurrencyLimit = 5, slots
+	urgent := r
+	urgent.ID, urgent.Priority, urgent.Headroom = "urgent", 0, 0
+	grantsUrgent := m.Reserve(urgent, m.now).Granted
+	m.Release("urgent")
 	if !m.Reserve(r, m.now).Granted {
 		return
 	}
+	require.True(t, grantsUrgent)
 	before := m.State(m.now)
 	require.Equal(t, Decision{Granted: true}, m.Reserve(r, m.now))
 	require.Equal(t, before, m.State(m.now), "reserved twice")
-	m.expected[r.ID] = &work{prompt, m.now}
-	recentGrowth := 0
+	m.works = append(m.works, work{r.ID, prompt, m.now, false})
+	claimed := 0
+	for _, w := range m.works {
+		claimed += w.tokens
+	}
 	for grownAt, tokens := range m.growth {
 		if m.now.Sub(grownAt) <= lifetime {
-			recentGrowth += tokens
+			claimed -= tokens
 		}
 	}
-	claimed := total(m.running) + total(m.expected)
-	require.LessOrEqual(t, float64(claimed), (1-headroom)*memory+float64(recentGrowth))
-	require.LessOrEqual(t, len(m.running)+len(m.expected), slots)
+	require.LessOrEqual(t, float64(claimed), (1-headroom)*memory)
+	require.LessOrEqual(t, len(m.works), slots)
 }
 
 // Guards against the same room granted to several requests, which a report of other
 // work, a lost or late request, a release or a retry with the same identifier could
-// cause. What a run grows can be taken for the arrival of a prompt, so that the bound
-// holds up to the growth during the lifetime of a reservation.
+// cause, and against an urgent request that is refused where one that must leave memory
+// free is granted. What a run grows can be taken for the arrival of a prompt, so that
+// the bound holds up to the growth during the lifetime of a reservation.
 func TestGrantedWorkFitsIntoMemory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel()
+		m := &model{Reservations: New(), now: start, growth: make(map[time.Time]int)}
 		m.observe(0)
 		for range 120 {
 			m.step(t)
@@ -148,26 +128,6 @@
 	})
 }
 
-// Guards against an urgent request that is refused where a less urgent one, which must
-// leave memory free, would be granted.
-func TestUrgentRequestIsGrantedWhereAnotherWouldBe(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel()
-		m.observe(0)
-		for range 40 {
-			m.step(t)
-		}
-		other := request("other", prompts.Draw(t, "prompt"), headrooms.Draw(t, "headroom"))
-		other.Priority, other.ConcurrencyLimit = 5, slots
-		if m.Reserve(other, m.now).Granted {
-			m.Release("other")
-			urgent := other
-			urgent.ID, urgent.Priority, urgent.Headroom = "urgent", 0, 0
-			require.True(t, m.Reserve(urgent, m.now).Granted)
-		}
-	})
-}
-
 // Guards against room that stays reserved after its work has appeared, was released or
 // never arrives, and against a report of earlier work that ends a reservation.
 func TestReservationsEnd(t *testing.T) {
@@ -208,20 +168,9 @@
 	require.Zero(t, s.State(at(1520)).Open)
 }
 
-// Guards against reservations without bound, and against a refusal that does not say
-// when to try again.
-func TestNumberIsBounded(t *testing.T) {
-	s := New()
-	s.Observe(engineReport(0, 0), at(0))
-	for i := range MaxOpen {
-		require.True(t, s.Reserve(request(fmt.Sprint(i), 1, 0), at(100)).Granted)
-	}
-	require.Equal(t, Decision{Reason: ReasonTooMany, RetryIn: 600 * time.Millisecond}, s.Reserve(request("more", 1, 0), at(500)))
-	require.True(t, s.Reserve(request("more", 1, 0), at(1100)).Granted)
-}
-
-// Guards against refusals without a reason, and against estimates that are longer or
-// shorter than the engine takes to free the memory or the slots.
+// Guards against refusals without a reason, against estimates that are longer or shorter
+// than the engine takes to free the memory or the slots, and against reservations without
+// bound.
 func TestRefusalsHaveReasonAndEstimate(t *testing.T) {
 	s := New()
 	s.Observe(engineReport(4, 20000), at(0))
@@ -241,6 +190,10 @@
 	refusal = s.Reserve(full, now)
 	require.Equal(t, ReasonSlots, refusal.Reason)
 	require.InDelta(t, 0.1, refusal.RetryIn.Seconds(), 0.01)
+	for i := range MaxOpen {
+		require.True(t, s.Reserve(request(fmt.Sprint(i), 1, 0), now).Granted)
+	}
+	require.Equal(t, Decision{Reason: ReasonTooMany, RetryIn: time.Second}, s.Reserve(request("a", 1, 0), now))
 	leaving := engineReport(0, 0)
 	leaving.Leaving = true
 	s.Observe(leaving, at(10010))
@@ -253,36 +206,34 @@
 	s := New()
 	s.Observe(engineReport(8, 10000), at(0))
 	require.Equal(t, 8*2*defaultGrowth, s.State(at(0)).Growth)
-	for i := range 1000 {
-		s.Observe(engineReport(8, 10000+8*i), at(20*i))
-	}
-	require.InDelta(t, 8*2*50, s.State(at(20000)).Growth, 8, "a token each 20 ms")
-	for i := range 1000 {
-		s.Observe(engineReport(8, 18000), at(20000+20*i))
+	used, ms := 10000, 0
+	for _, perRun := range []int{1, 0} {
+		for range 1000 {
+			used, ms = used+8*perRun, ms+20
+			s.Observe(engineReport(8, used), at(ms))
+		}
+		require.InDelta(t, 8*2*50*perRun, s.State(at(ms)).Growth, 8, "tokens in 20 ms")
 	}
-	require.InDelta(t, 0, s.State(at(40000)).Growth, 8)
 }
 
 // Guards against values out of range that overflow, refuse work or free memory that is
 // taken.
 func TestValuesOutOfRangeGetDefaults(t *testing.T) {
-	numbers := rapid.SampledFrom([]int{math.MinInt, -1, 0, 1, 9, 10, maxTokens, maxTokens + 1, math.MaxInt})
-	shares := rapid.SampledFrom([]float64{math.NaN(), math.Inf(-1), -0.1, 0, 0.12, 1, 1.1, math.Inf(1)})
-	rapid.Check(t, func(t *rapid.T) {
-		s := New()
-		s.Observe(directory.Report{MemoryTotal: 1 << 40, MemoryUsed: numbers.Draw(t, "used") >> 20, Running: numbers.Draw(t, "running") >> 40}, at(0))
-		r := Request{
-			ID: "a", Priority: numbers.Draw(t, "priority"), PromptTokens: numbers.Draw(t, "prompt"),
-			OutputTokens: numbers.Draw(t, "output"), Headroom: shares.Draw(t, "headroom"), ConcurrencyLimit: numbers.Draw(t, "limit"),
-		}
-		usable, _ := r.WithDefaults()
-		_, again := usable.WithDefaults()
-		require.False(t, again)
-		if s.Reserve(r, at(0)).Granted {
-			require.Equal(t, usable.PromptTokens, s.State(at(0)).Reserved)
-		}
-		require.Equal(t, Decision{Granted: true, Unconfirmed: true}, s.Reserve(Request{}, at(0)), "no identifier")
-	})
+	s := New()
+	s.Observe(directory.Report{Running: -1, MemoryUsed: -1, MemoryTotal: 1 << 40}, at(0))
+	require.Equal(t, Decision{Granted: true, Unconfirmed: true}, s.Reserve(Request{}, at(0)), "no identifier")
+	for _, r := range []Request{
+		{ID: "a", Priority: -1, PromptTokens: -1, OutputTokens: math.MinInt, Headroom: math.NaN(), ConcurrencyLimit: -1},
+		{ID: "a", PromptTokens: math.MaxInt, OutputTokens: math.MaxInt, Headroom: math.Inf(1)},
+	} {
+		usable, changed := r.WithDefaults()
+		require.True(t, changed)
+		require.Equal(t, Request{ID: "a", PromptTokens: defaultPromptTokens}, usable)
+		require.Equal(t, Decision{Granted: true}, s.Reserve(r, at(0)))
+		require.Equal(t, defaultPromptTokens, s.State(at(0)).Reserved)
+	}
+	usable, _ := Request{Priority: 10, PromptTokens: 1, Headroom: 1}.WithDefaults()
+	require.Equal(t, Request{Priority: 9, PromptTokens: 1, Headroom: 1}, usable)
 }
 
 // BenchmarkReserve decides on a request at an engine with 24 runs and 64 open
--- a/internal/process/router/reporterclient/reporterclient_test.go
+++ b/internal/process/router/reporterclient/reporterclient_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,11 +33,9 @@
 	mu         sync.Mutex
 	suspicions int
 	turns      *turnqueue.Queue
-	// status and answer are the answer to requests for a reservation, none if the
-	// status is 0. messages holds these requests and their releases, by path.
-	status   int
-	answer   string
-	messages map[string]string
+	// reserved is the latest request for a reservation, and released the released ones.
+	reserved atomic.Value
+	released chan string
 }
 
 func (s *scriptedReporter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -64,28 +63,23 @@
 	}
 }
 
+// serveReservation gives the answer that the identifier states as status and body, none
+// for the status 0.
 func (s *scriptedReporter) serveReservation(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.messages[r.URL.Path] = string(body)
-	if s.status == 0 {
-		panic(http.ErrAbortHandler)
+	var wanted reservation.Request
+	_ = json.NewDecoder(r.Body).Decode(&wanted)
+	if r.URL.Path == reporter.ReservationReleasePath {
+		s.released <- wanted.ID
+		return
 	}
-	w.WriteHeader(s.status)
-	_, _ = io.WriteString(w, s.answer)
-}
-
-func (s *scriptedReporter) setAnswer(status int, answer string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.status, s.answer = status, answer
-}
-
-func (s *scriptedReporter) message(path string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.messages[path]
+	s.reserved.Store(wanted)
+	text, answer, _ := strings.Cut(wanted.ID, " ")
+	if status, _ := strconv.Atoi(text); status > 0 {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, answer)
+		return
+	}
+	<-r.Context().Done()
 }
 
 func (s *scriptedReporter) serveReports(w http.ResponseWriter, r *http.Request) {
@@ -112,7 +106,7 @@
 // newClient returns a client of one upstream with a scripted reporter.
 func newClient(t *testing.T) (*Client, *directory.Directory, *scriptedReporter) {
 	t.Helper()
-	scripted := &scriptedReporter{lines: make(chan reporter.Line), turns: turnqueue.New(), messages: make(map[string]string)}
+	scripted := &scriptedReporter{lines: make(chan reporter.Line), turns: turnqueue.New(), released: make(chan string)}
 	server := httptest.NewServer(scripted)
 	t.Cleanup(server.CloseClientConnections)
 	host, text, err := net.SplitHostPort(server.Listener.Addr().String())
@@ -188,62 +182,35 @@
 	require.True(t, free)
 }
 
-// Guards against requests that are not sent because a reporter is not connected, fails,
-// does not know reservations or answers nonsense, and against refusals that are ignored.
+// Guards against requests that are not sent because a reporter is not connected, does not
+// answer, does not know reservations or answers nonsense, and against refusals that are
+// ignored.
 func TestReservationsAreDecidedByReporter(t *testing.T) {
 	client, d, scripted := newClient(t)
 	v := view(t, d)
-	r := reservation.Request{ID: "r1", Priority: 2, PromptTokens: 3000, OutputTokens: 744, Headroom: 0.12}
+	r := reservation.Request{ID: "200 {}", Priority: 2, PromptTokens: 3000, OutputTokens: 744, Headroom: 0.12}
+	granted := reservation.Decision{Granted: true}
 	unconfirmed := reservation.Decision{Granted: true, Unconfirmed: true}
-	scripted.setAnswer(http.StatusServiceUnavailable, `{"reason":"memory"}`)
 	require.Equal(t, unconfirmed, client.Reserve(t.Context(), v, r), "not connected")
 	scripted.lines <- reporter.Line{Incarnation: 7}
 	require.Eventually(t, func() bool { return client.isConnected(v) }, 2*time.Second, time.Millisecond)
-	for _, test := range []struct {
-		status   int
-		answer   string
-		decision reservation.Decision
-	}{
-		{200, `{}`, reservation.Decision{Granted: true}},
-		{200, `{"unconfirmed":true}`, unconfirmed},
-		{200, `granted`, unconfirmed},
-		{503, `{"reason":"memory","retry_in_ms":120}`, reservation.Decision{Reason: "memory", RetryIn: 120 * time.Millisecond}},
-		{503, `{"reason":"memory","retry_in_ms":-1}`, reservation.Decision{Reason: "memory"}},
-		{503, `{"reason":"memory","retry_in_ms":9223372036854775807}`, reservation.Decision{Reason: "memory", RetryIn: maxRetryIn}},
-		{503, `{}`, unconfirmed},
-		{503, `overloaded`, unconfirmed},
-		{404, `404 page not found`, unconfirmed},
-		{400, `{"reason":"memory"}`, unconfirmed},
-		{0, ``, unconfirmed},
+	// An answer that takes longer than tryTimeout on a busy machine is unconfirmed.
+	require.Eventually(t, func() bool { return client.Reserve(t.Context(), v, r) == granted }, 2*time.Second, time.Millisecond)
+	sent := r
+	sent.ConcurrencyLimit = 8
+	require.Equal(t, sent, scripted.reserved.Load(), "with the limit of the upstream")
+	for answer, decision := range map[string]reservation.Decision{
+		`503 {"reason":"memory","retry_in_ms":120}`:                 {Reason: "memory", RetryIn: 120 * time.Millisecond},
+		`503 {"reason":"memory","retry_in_ms":-1}`:                  {Reason: "memory"},
+		`503 {"reason":"memory","retry_in_ms":9223372036854775807}`: {Reason: "memory", RetryIn: maxRetryIn},
+		`200 {"unconfirmed":true}`:                                  unconfirmed, `200 granted`: unconfirmed, `503 {}`: unconfirmed, `503 overloaded`: unconfirmed,
+		`404 page not found`: unconfirmed, `400 {"reason":"memory"}`: unconfirmed, `0`: unconfirmed,
 	} {
-		scripted.setAnswer(test.status, test.answer)
-		// An answer that takes longer than tryTimeout on a busy machine is unconfirmed.
-		require.Eventually(t, func() bool {
-			return client.Reserve(t.Context(), v, r) == test.decision
-		}, 5*time.Second, time.Millisecond, test.answer)
+		r.ID = answer
+		require.Eventually(t, func() bool { return client.Reserve(t.Context(), v, r) == decision }, 2*time.Second, time.Millisecond, answer)
 	}
-	var sent reservation.Request
-	require.NoError(t, json.Unmarshal([]byte(scripted.message(reporter.ReservationsPath)), &sent))
-	require.Equal(t, 8, sent.ConcurrencyLimit, "that of the upstream")
-	sent.ConcurrencyLimit = 0
-	require.Equal(t, r, sent)
 	client.ReleaseReservation(v, "r1")
-	require.Eventually(t, func() bool {
-		return strings.Contains(scripted.message(reporter.ReservationReleasePath), `"id":"r1"`)
-	}, 2*time.Second, time.Millisecond)
-}
-
-// Guards against a caller that waits for a reporter which accepts requests and does not
-// answer.
-func TestReservationIsNotAwaitedForLong(t *testing.T) {
-	client, d, scripted := newClient(t)
-	v := view(t, d)
-	scripted.lines <- reporter.Line{Incarnation: 7}
-	require.Eventually(t, func() bool { return client.isConnected(v) }, 2*time.Second, time.Millisecond)
-	scripted.mu.Lock()
-	defer scripted.mu.Unlock()
-	decision := client.Reserve(t.Context(), v, reservation.Request{ID: "r1"})
-	require.Equal(t, reservation.Decision{Granted: true, Unconfirmed: true}, decision)
+	require.Equal(t, "r1", <-scripted.released)
 }
 
 // Guards against following every upstream of a large fleet, and against losing sight of
