--- a/internal/process/router/reporterclient/reporterclient_test.go
+++ b/internal/process/router/reporterclient/reporterclient_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/reporter"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
 
@@ -29,6 +33,9 @@
 	mu         sync.Mutex
 	suspicions int
 	turns      *turnqueue.Queue
+	// reserved is the latest request for a reservation, and released the released ones.
+	reserved atomic.Value
+	released chan string
 }
 
 func (s *scriptedReporter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -49,11 +56,32 @@
 		if json.NewDecoder(r.Body).Decode(&turn) == nil {
 			s.turns.Release(turn.ID)
 		}
+	case reporter.ReservationsPath, reporter.ReservationReleasePath:
+		s.serveReservation(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// serveReservation gives the answer that the identifier states as status and body, none
+// for the status 0.
+func (s *scriptedReporter) serveReservation(w http.ResponseWriter, r *http.Request) {
+	var wanted reservation.Request
+	_ = json.NewDecoder(r.Body).Decode(&wanted)
+	if r.URL.Path == reporter.ReservationReleasePath {
+		s.released <- wanted.ID
+		return
+	}
+	s.reserved.Store(wanted)
+	text, answer, _ := strings.Cut(wanted.ID, " ")
+	if status, _ := strconv.Atoi(text); status > 0 {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, answer)
+		return
+	}
+	<-r.Context().Done()
+}
+
 func (s *scriptedReporter) serveReports(w http.ResponseWriter, r *http.Request) {
 	w.WriteHeader(http.StatusOK)
 	for {
@@ -78,7 +106,7 @@
 // newClient returns a client of one upstream with a scripted reporter.
 func newClient(t *testing.T) (*Client, *directory.Directory, *scriptedReporter) {
 	t.Helper()
-	scripted := &scriptedReporter{lines: make(chan reporter.Line), turns: turnqueue.New()}
+	scripted := &scriptedReporter{lines: make(chan reporter.Line), turns: turnqueue.New(), released: make(chan string)}
 	server := httptest.NewServer(scripted)
 	t.Cleanup(server.CloseClientConnections)
 	host, text, err := net.SplitHostPort(server.Listener.Addr().String())
@@ -154,6 +182,37 @@
 	require.True(t, free)
 }
 
+// Guards against requests that are not sent because a reporter is not connected, does not
+// answer, does not know reservations or answers nonsense, and against refusals that are
+// ignored.
+func TestReservationsAreDecidedByReporter(t *testing.T) {
+	client, d, scripted := newClient(t)
+	v := view(t, d)
+	r := reservation.Request{ID: "200 {}", Priority: 2, PromptTokens: 3000, OutputTokens: 744, Headroom: 0.12}
+	granted := reservation.Decision{Granted: true}
+	unconfirmed := reservation.Decision{Granted: true, Unconfirmed: true}
+	require.Equal(t, unconfirmed, client.Reserve(t.Context(), v, r), "not connected")
+	scripted.lines <- reporter.Line{Incarnation: 7}
+	require.Eventually(t, func() bool { return client.isConnected(v) }, 2*time.Second, time.Millisecond)
+	// An answer that takes longer than tryTimeout on a busy machine is unconfirmed.
+	require.Eventually(t, func() bool { return client.Reserve(t.Context(), v, r) == granted }, 2*time.Second, time.Millisecond)
+	sent := r
+	sent.ConcurrencyLimit = 8
+	require.Equal(t, sent, scripted.reserved.Load(), "with the limit of the upstream")
+	for answer, decision := range map[string]reservation.Decision{
+		`503 {"reason":"memory","retry_in_ms":120}`:                 {Reason: "memory", RetryIn: 120 * time.Millisecond},
+		`503 {"reason":"memory","retry_in_ms":-1}`:                  {Reason: "memory"},
+		`503 {"reason":"memory","retry_in_ms":9223372036854775807}`: {Reason: "memory", RetryIn: maxRetryIn},
+		`200 {"unconfirmed":true}`:                                  unconfirmed, `200 granted`: unconfirmed, `503 {}`: unconfirmed, `503 overloaded`: unconfirmed,
+		`404 page not found`: unconfirmed, `400 {"reason":"memory"}`: unconfirmed, `0`: unconfirmed,
+	} {
+		r.ID = answer
+		require.Eventually(t, func() bool { return client.Reserve(t.Context(), v, r) == decision }, 2*time.Second, time.Millisecond, answer)
+	}
+	client.ReleaseReservation(v, "r1")
+	require.Equal(t, "r1", <-scripted.released)
+}
+
 // Guards against following every upstream of a large fleet, and against losing sight of
 // one at which this router has work.
 func TestSubsetAndUpstreamsInUseAreFollowed(t *testing.T) {
