Decode the runs of an engine's report

Routers need the pace of engines, and the report of an engine already lists the events that each run has made.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -43,6 +43,20 @@
 	Running            int
 	// MemoryUsed and MemoryTotal are in tokens.
 	MemoryUsed, MemoryTotal int
+	// EventTime is the median time between two events of a run, 0 if unknown.
+	EventTime time.Duration
+	// Runs lists the runs that have produced an event, if the report comes from the
+	// upstream itself.
+	Runs []Run
+}
+
+// Run is one generation in the report of an upstream.
+type Run struct {
+	ID string
+	// MemoryTokens is the memory that the run occupies, in tokens.
+	MemoryTokens int
+	// Events is the number of events that the run has produced.
+	Events int
 }
 
 // upstream is the state of one upstream.
--- a/internal/process/directory/upstream.go
+++ b/internal/process/directory/upstream.go
@@ -115,6 +115,7 @@
 		v.Waiting = u.report.Waiting + u.callsSinceReport
 		v.MemoryUsed = u.report.MemoryUsed + u.tokensSinceReport
 		v.MemoryTotal = u.report.MemoryTotal
+		v.EventTime = u.report.EventTime
 	}
 	return v
 }
--- a/internal/process/directory/view.go
+++ b/internal/process/directory/view.go
@@ -26,6 +26,9 @@
 	Waiting     int
 	MemoryUsed  int
 	MemoryTotal int
+	// EventTime is the median time between two events of a run of the upstream, 0 if
+	// unknown.
+	EventTime time.Duration
 	// FailureRate is the share of recent calls that failed, from 0 to 1.
 	FailureRate float64
 	// Suspect is true if the upstream was unreachable or left a request unanswered
