Measure the pace of engines in reporters and publish it

Routers do not know the pace of engines. A reporter now measures it from the runs of successive reports and publishes it as event_us. Changes under 10% are left out of the messages.

--- a/internal/process/reporter/message.go
+++ b/internal/process/reporter/message.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"math"
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
@@ -19,6 +20,12 @@
 	SuspicionPath = "/v1/doubts"
 	// HeartbeatInterval is the longest time between two lines of the stream.
 	HeartbeatInterval = 500 * time.Millisecond
+	// minEventTimeChange is the least change of the event time that is sent, as a
+	// share of the event time. It is well below the excess of 25% that matters to
+	// routers.
+	minEventTimeChange = 0.1
+	// maxEventTime is the greatest event time that is not an error.
+	maxEventTime = time.Minute
 )
 
 // Line is the complete state of a report. Each message of the stream holds only
@@ -32,6 +39,9 @@
 	Running        int   `json:"running"`
 	MemoryUsed     int   `json:"memory_used"`
 	MemoryTotal    int   `json:"memory_total"`
+	// EventMicros is the median time between two events of a run in microseconds, 0
+	// if unknown. Changes of less than minEventTimeChange are left out.
+	EventMicros int64 `json:"event_us"`
 	// Suspicions is the number of times that a router has started to suspect the
 	// upstream.
 	Suspicions int `json:"doubts"`
@@ -48,6 +58,7 @@
 	Running        *int   `json:"running,omitempty"`
 	MemoryUsed     *int   `json:"memory_used,omitempty"`
 	MemoryTotal    *int   `json:"memory_total,omitempty"`
+	EventMicros    *int64 `json:"event_us,omitempty"`
 	Suspicions     *int   `json:"doubts,omitempty"`
 	Unreachable    *bool  `json:"gone,omitempty"`
 }
@@ -62,6 +73,7 @@
 		Running:        ifChanged(l.Running, previous.Running),
 		MemoryUsed:     ifChanged(l.MemoryUsed, previous.MemoryUsed),
 		MemoryTotal:    ifChanged(l.MemoryTotal, previous.MemoryTotal),
+		EventMicros:    ifChanged(l.EventMicros, previous.EventMicros),
 		Suspicions:     ifChanged(l.Suspicions, previous.Suspicions),
 		Unreachable:    ifChanged(l.Unreachable, previous.Unreachable),
 	}
@@ -79,15 +91,36 @@
 	return Line{
 		Incarnation: r.Incarnation, Leaving: r.Leaving, LeavesInMillis: r.TimeUntilDeparture.Milliseconds(),
 		Waiting: r.Waiting, Running: r.Running, MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal,
+		EventMicros: r.EventTime.Microseconds(),
 	}
 }
 
+// withSteadyEventTime returns the line with the event time of the previous line, if
+// the change is too small to be sent.
+func (l Line) withSteadyEventTime(previous Line) Line {
+	known := l.EventMicros > 0 && previous.EventMicros > 0
+	change := math.Abs(float64(l.EventMicros - previous.EventMicros))
+	if known && change < minEventTimeChange*float64(previous.EventMicros) {
+		l.EventMicros = previous.EventMicros
+	}
+	return l
+}
+
 // Report returns the report of the line.
 func (l Line) Report() directory.Report {
 	return directory.Report{
 		Incarnation: l.Incarnation, Leaving: l.Leaving, TimeUntilDeparture: time.Duration(l.LeavesInMillis) * time.Millisecond,
 		Waiting: l.Waiting, Running: l.Running, MemoryUsed: l.MemoryUsed, MemoryTotal: l.MemoryTotal,
+		EventTime: l.eventTime(),
+	}
+}
+
+// eventTime returns the event time, 0 for a value that no upstream has.
+func (l Line) eventTime() time.Duration {
+	if l.EventMicros < 0 || l.EventMicros > maxEventTime.Microseconds() {
+		return 0
 	}
+	return time.Duration(l.EventMicros) * time.Microsecond
 }
 
 // changesState reports whether the upstream has restarted, has started or
--- a/internal/process/reporter/message_test.go
+++ b/internal/process/reporter/message_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"encoding/json"
+	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
 )
 
 func drawLine(t *rapid.T) Line {
@@ -14,7 +18,7 @@
 		Incarnation: int64(number.Draw(t, "born")), Leaving: rapid.Bool().Draw(t, "leaving"),
 		LeavesInMillis: int64(number.Draw(t, "leaves")), Waiting: number.Draw(t, "waiting"),
 		Running: number.Draw(t, "running"), MemoryUsed: number.Draw(t, "used"),
-		MemoryTotal: number.Draw(t, "total"), Suspicions: number.Draw(t, "doubts"), Unreachable: rapid.Bool().Draw(t, "gone"),
+		MemoryTotal: number.Draw(t, "total"), EventMicros: int64(number.Draw(t, "event")), Suspicions: number.Draw(t, "doubts"), Unreachable: rapid.Bool().Draw(t, "gone"),
 	}
 }
 
@@ -48,3 +52,25 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(changed), 24)
 }
+
+// Guards against a message to all routers for each change of the measured event
+// time, against drift that is never sent because each step is small, and against an
+// event time that remains after it has become unknown.
+func TestSmallChangesOfTheEventTimeAreNotSent(t *testing.T) {
+	sent := Line{EventMicros: 30_000}
+	for measured, want := range map[int64]int64{32_900: 30_000, 27_100: 30_000, 33_000: 33_000, 26_900: 26_900, 75_000: 75_000, 0: 0} {
+		line := Line{EventMicros: measured}.withSteadyEventTime(sent)
+		require.Equal(t, want, line.EventMicros)
+		require.False(t, line.isUrgent(sent))
+	}
+	require.Equal(t, int64(100), Line{EventMicros: 100}.withSteadyEventTime(Line{}).EventMicros)
+}
+
+// Guards against an event time that is lost on the way to routers, and against
+// negative or overflowing values.
+func TestEventTimeOfALine(t *testing.T) {
+	require.Equal(t, 28*time.Millisecond, newLine(directory.Report{EventTime: 28 * time.Millisecond}).Report().EventTime)
+	for _, micros := range []int64{-1, math.MinInt64, math.MaxInt64, time.Hour.Microseconds()} {
+		require.Zero(t, Line{EventMicros: micros}.Report().EventTime)
+	}
+}
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
+	"github.com/flamingohold/flamingohold/internal/process/reporter/pace"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
@@ -48,6 +49,8 @@
 	telemetry *telemetry.Telemetry
 	clock     func() time.Time
 	turns     *turnqueue.Queue
+	// pace is used only by the goroutine that polls.
+	pace *pace.Estimator
 
 	mu sync.Mutex
 	// line is the latest report, and known is true once there is one. changed is
@@ -69,7 +72,7 @@
 	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: callTimeout}, time.Now)
 	return &Reporter{
 		settings: s, upstream: upstream(pool), log: log, telemetry: t, clock: time.Now,
-		turns: turnqueue.New(), changed: make(chan struct{}),
+		turns: turnqueue.New(), pace: pace.New(), changed: make(chan struct{}),
 	}, nil
 }
 
@@ -126,7 +129,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		report, err := r.upstream.Report(callCtx, r.settings.UpstreamAddress)
 		cancel()
-		line := newLine(report)
+		var line Line
 		if err != nil {
 			if failures++; failures < unreachableAfterFailures {
 				continue
@@ -135,11 +138,19 @@
 			line.Unreachable = true
 		} else {
 			failures = 0
+			line = r.observe(report, r.clock())
 		}
 		published = r.publish(line, published)
 	}
 }
 
+// observe returns the line of a polled report, with the event time of the upstream.
+func (r *Reporter) observe(report directory.Report, now time.Time) Line {
+	r.pace.Observe(report, now)
+	report.EventTime = r.pace.Estimate(now).EventTime
+	return newLine(report).withSteadyEventTime(r.latestLine())
+}
+
 func (r *Reporter) latestLine() Line {
 	r.mu.Lock()
 	defer r.mu.Unlock()
