Choose engines for long outputs by their pace

Routes whose callers accept a longest gap between events prefer engines that can keep it. An engine over 1.25 times the median event time gets a penalty that grows with the third power of the share of the gap; at a third of the gap it is 2.5, more than the load of a full engine with the pressure of a prompt (2.35). Short outputs weight waiting prompts by the relative event time instead. Moves use the same score, with the median of all engines rather than of those with room.

--- a/internal/process/router/relocation/relocation.go
+++ b/internal/process/router/relocation/relocation.go
@@ -234,11 +234,13 @@
 // another, and returns the upstreams that it queried. If release is not nil,
 // the link of the last of them has been acquired.
 func (m *Relocator) probeTargets(ctx context.Context, r *Run, engine *routetable.Engine, source directory.View, excluded map[string]bool) (candidates []directory.View, release func()) {
+	views := m.directory.Service(r.service, m.clock())
 	request := selection.Request{
 		DataCentre: source.DataCentre, Tokens: r.tokens(engine.EventTokens), MemoryTokens: engine.MemoryTokens,
-		Exclude: maps.Clone(excluded), RemotePenalty: moveRemotePenalty,
+		Exclude: maps.Clone(excluded), RemotePenalty: moveRemotePenalty, MaxEventGap: r.maxEventGap,
+		OutputEvents: r.remainingEvents(engine.EventTokens), MedianEventTime: selection.MedianEventTime(views),
 	}
-	views := withRoom(m.directory.Service(r.service, m.clock()), request)
+	views = withRoom(views, request)
 	for range maxTargetProbes {
 		v, ok := selection.Choose(views, request, m.random)
 		if !ok {
--- a/internal/process/router/relocation/run.go
+++ b/internal/process/router/relocation/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 )
@@ -29,6 +30,9 @@
 	// promptTokens and outputTokens are the sizes that the request declares.
 	promptTokens, outputTokens int
 	service                    string
+	// maxEventGap is the longest time between two events that callers accept, 0 for
+	// no bound.
+	maxEventGap time.Duration
 
 	mu     sync.Mutex
 	source directory.View
@@ -52,6 +56,13 @@
 	}
 }
 
+// WithMaxEventGap sets the longest time between two events that callers accept, 0
+// for no bound, and returns the run. It must be called before the run is tracked.
+func (r *Run) WithMaxEventGap(gap time.Duration) *Run {
+	r.maxEventGap = gap
+	return r
+}
+
 // Event records that an event of the run arrived.
 func (r *Run) Event() {
 	r.mu.Lock()
@@ -183,6 +194,14 @@
 	return r.promptTokens + r.events*eventTokens
 }
 
+// remainingEvents returns the number of events that the run is expected to produce
+// from now on. It is 0 if the run has produced all that its request declares.
+func (r *Run) remainingEvents(eventTokens int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, r.outputTokens/max(1, eventTokens)-r.events)
+}
+
 func (r *Run) setSource(v directory.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/process/router/selection/pace.go
@@ -0,0 +1,88 @@
+package selection
+
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+)
+
+const (
+	// minPacedEvents is the number of expected events from which an output is long
+	// enough to meet slow events.
+	minPacedEvents = 8
+	// slowRatio is the ratio of an engine's event time to the median above which the
+	// engine counts as slow.
+	slowRatio = 1.25
+	// gapMultiple is the factor by which an interval grows when the engine is in
+	// prefill or is slowed for a short time.
+	gapMultiple = 3.0
+	// slowPenalty is the penalty for a slow engine whose event time, multiplied by
+	// gapMultiple, is the request's MaxEventGap. It outweighs the load of a full
+	// engine: 1 for its memory, 1.35 for the pressure of a prompt of a tenth of its
+	// memory, and the random part of the score.
+	slowPenalty = 2.5
+	// maxSlowPenalty keeps the penalty for a slow engine below that for an engine
+	// that does not answer.
+	maxSlowPenalty = 8.0
+	// maxRelativePace bounds the weight of waiting prompts at an engine by its pace.
+	maxRelativePace = 4.0
+	// stackEventTimes is the number of event times whose median is found without an
+	// allocation. A router follows 32 reporters and those of engines in use.
+	stackEventTimes = 256
+)
+
+// MedianEventTime returns the median of the known event times of the upstreams, the
+// lower one of two, and 0 if none is known.
+func MedianEventTime(views []directory.View) time.Duration {
+	var buffer [stackEventTimes]time.Duration
+	known := buffer[:0]
+	for i := range views {
+		if views[i].EventTime > 0 {
+			known = append(known, views[i].EventTime)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+// KeepsGap reports whether the upstream is predicted to keep the gap: its event time
+// multiplied by gapMultiple is not above it.
+func KeepsGap(v *directory.View, gap time.Duration) bool {
+	return gapMultiple*float64(v.EventTime) <= float64(gap)
+}
+
+// pacePenalty returns the part of the score that depends on the pace of the upstream.
+// It is 0 if the request has no MaxEventGap or if the event time of the upstream is
+// unknown or the median.
+func pacePenalty(v *directory.View, r Request, median time.Duration) float64 {
+	if r.MaxEventGap <= 0 || v.EventTime <= 0 || median <= 0 {
+		return 0
+	}
+	ratio := float64(v.EventTime) / float64(median)
+	if r.OutputEvents < minPacedEvents {
+		return waitingPenalty(v, ratio)
+	}
+	return slowEnginePenalty(v, r, ratio)
+}
+
+// waitingPenalty returns the load of the waiting prompts that is due to the pace of
+// the upstream, whose prefill is as slow as its events.
+func waitingPenalty(v *directory.View, ratio float64) float64 {
+	weight := min(maxRelativePace, max(1/maxRelativePace, ratio))
+	return waitingLoad * float64(v.Waiting) * (weight - 1)
+}
+
+// slowEnginePenalty returns the penalty for an upstream whose ratio to the median
+// exceeds slowRatio. It grows with the third power of the share of the gap, since an
+// engine far below it is hardly a risk, and with the excess over the median.
+func slowEnginePenalty(v *directory.View, r Request, ratio float64) float64 {
+	if ratio <= slowRatio {
+		return 0
+	}
+	share := gapMultiple * float64(v.EventTime) / float64(r.MaxEventGap)
+	return min(maxSlowPenalty, slowPenalty*share*share*share*ratio/slowRatio)
+}
--- a/internal/process/router/selection/selection.go
+++ b/internal/process/router/selection/selection.go
@@ -1,6 +1,8 @@
 package selection
 
 import (
+	"time"
+
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 )
 
@@ -48,6 +50,15 @@
 	// RemotePenalty is the penalty for an upstream in another data centre, as a
 	// share of an upstream's capacity, 0 for the default.
 	RemotePenalty float64
+	// MaxEventGap is the longest time between two events that callers accept, 0 for
+	// no bound. The pace of upstreams counts only if there is a bound.
+	MaxEventGap time.Duration
+	// OutputEvents is the number of events that the request is expected to produce
+	// from now on, 0 if unknown. Unknown outputs count as short.
+	OutputEvents int
+	// MedianEventTime is the median event time of the service's upstreams. If it is
+	// 0, that of the views is used.
+	MedianEventTime time.Duration
 }
 
 // Choose returns the upstream with the lowest score, and false if there is none
@@ -84,6 +95,9 @@
 	// load.
 	reportedCount int
 	meanLoad      float64
+	// medianEventTime is the median event time of the upstreams, 0 if unknown or if
+	// the request does not depend on it.
+	medianEventTime time.Duration
 }
 
 func summarise(views []directory.View, r Request) serviceSummary {
@@ -101,6 +115,9 @@
 	if o.reportedCount > 0 {
 		o.meanLoad /= float64(o.reportedCount)
 	}
+	if o.medianEventTime = r.MedianEventTime; r.MaxEventGap > 0 && o.medianEventTime <= 0 {
+		o.medianEventTime = MedianEventTime(views)
+	}
 	return o
 }
 
@@ -134,7 +151,7 @@
 	if v.Cold {
 		s += coldPenalty
 	}
-	return s
+	return s + pacePenalty(v, r, o.medianEventTime)
 }
 
 // Load returns the load of the upstream: the share of its concurrency limit or of
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -78,9 +78,11 @@
 	now := c.Clock()
 	request := selection.Request{
 		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
+		MaxEventGap: c.route.MaxEventGap, OutputEvents: c.outputEvents(),
 	}
 	tokens := c.sizes.Prompt + c.sizes.Output
 	views := c.Directory.Service(c.service.Name, now)
+	request.MedianEventTime = selection.MedianEventTime(views)
 	c.blockPaused(views)
 	for range views {
 		v, ok := selection.Choose(views, request, rand.Float64)
@@ -109,6 +111,8 @@
 		Int("with_room", selection.CountWithRoom(views, r)).Bool("reported", v.Reported).
 		Dur("report_age", v.ReportAge).Int("waiting", v.Waiting).Int("running", v.Running).Int("memory_used", v.MemoryUsed).
 		Int("calls", v.Calls).Float64("failure_rate", v.FailureRate).Bool("cold", v.Cold).
+		Dur("event_time", v.EventTime).Dur("median_event_time", r.MedianEventTime).Dur("max_event_gap", r.MaxEventGap).
+		Int("output_events", r.OutputEvents).
 		Dur("time_left", c.deadline.Sub(c.Clock())).Send()
 }
 
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -221,6 +221,15 @@
 	return c.service.Engine.MemoryTokens
 }
 
+// outputEvents returns the number of events that the answer is expected to have, 0
+// for unknown and for a plain service.
+func (c *call) outputEvents() int {
+	if c.service.Engine == nil {
+		return 0
+	}
+	return c.sizes.Output / max(1, c.service.Engine.EventTokens)
+}
+
 // request returns the request for the upstream, with the time left at now.
 func (c *call) request(v directory.View, now time.Time) *upstreamclient.Request {
 	header := c.header.Clone()
--- a/internal/request/forwarding/metrics.go
+++ b/internal/request/forwarding/metrics.go
@@ -12,6 +12,10 @@
 // latencyBuckets are the bounds of the latency histograms.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.8, 18)
 
+// gapBuckets are the bounds of the histogram of gaps between events. They are
+// closer than those of latencies, as the bounds that callers accept are.
+var gapBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.33, 20)
+
 // Metrics records the results and latencies of requests.
 type Metrics struct{ scope tally.Scope }
 
@@ -44,3 +48,10 @@
 func (m *Metrics) resumed(moved bool) {
 	m.scope.Tagged(map[string]string{"moved": strconv.FormatBool(moved)}).Counter("resumed").Inc(1)
 }
+
+// longestGap records the longest gap of a complete stream. The tag "predicted" says
+// whether the upstream chosen for it was expected to keep the route's gap.
+func (m *Metrics) longestGap(p gapPrediction, moved bool, gap time.Duration) {
+	tags := map[string]string{"predicted": string(p), "moved": strconv.FormatBool(moved)}
+	m.scope.Tagged(tags).Histogram("longest_gap", gapBuckets).RecordDuration(gap)
+}
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -41,6 +41,8 @@
 	lastAt time.Time
 	// longestGap is the longest time between two events.
 	longestGap time.Duration
+	// predicted is the prediction for the upstream chosen last.
+	predicted gapPrediction
 }
 
 // serveStream serves a request whose answer is a stream of events.
@@ -66,7 +68,8 @@
 // sent to another upstream.
 func (s *stream) serveFrom(ctx context.Context, v directory.View, done func()) bool {
 	defer done()
-	s.run = relocation.NewRun(s.id, s.service.Name, v, s.sizes.Prompt, s.sizes.Output)
+	s.predicted = predictGap(v, s.route.MaxEventGap)
+	s.run = relocation.NewRun(s.id, s.service.Name, v, s.sizes.Prompt, s.sizes.Output).WithMaxEventGap(s.route.MaxEventGap)
 	s.Relocator.Begin(s.ProcessContext, s.run)
 	defer s.Relocator.End(s.run)
 	request := s.request(v, s.Clock())
@@ -330,9 +333,12 @@
 	}
 	elapsed := s.Clock().Sub(s.received)
 	s.Metrics.answered(s.route.Kind, s.head.Status, elapsed)
+	if s.route.MaxEventGap > 0 && s.events > 1 {
+		s.Metrics.longestGap(s.predicted, s.moves > 0, s.longestGap)
+	}
 	s.Log.Emit(eventlog.CallAnswered).Str("request_id", s.id).Str("route", s.route.Name).Str("upstream", v.ID).
 		Int("status", s.head.Status).Int("sends", s.sends).Int("events", s.events).Int("moves", s.moves).
-		Dur("longest_gap", s.longestGap).Dur("took", elapsed).Int64("table_version", s.table.Version()).Send()
+		Dur("longest_gap", s.longestGap).Str("predicted", string(s.predicted)).Dur("took", elapsed).Int64("table_version", s.table.Version()).Send()
 }
 
 // endCancelled ends a request whose context was cancelled. If part of the stream
