Test the choice by pace, and bound the penalty of slow engines

The penalty was bounded only below that of an engine that does not answer (8). At 65 ms and a median of 30 ms it was 5.5, so that prompts would have waited for memory at full engines and preempted runs while slow engines were idle. It is bounded by the load of a full engine with a waiting prompt (4).

--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -157,3 +157,16 @@
 	v, _ = d.Upstream("a", start.Add(4*failureHalfLife))
 	require.Less(t, v.FailureRate, 0.1)
 }
+
+// Guards against the pace of an engine being used after its reports have ended: it
+// may have changed by then.
+func TestEventTimeEndsWithTheReport(t *testing.T) {
+	d := newDirectory()
+	d.Upsert(entry("a", "10.0.0.1:1", 100), start)
+	d.ObserveReport("a", Report{Incarnation: 100, EventTime: 28 * time.Millisecond}, start)
+	for after, want := range map[time.Duration]time.Duration{reportLifetime / 2: 28 * time.Millisecond, reportLifetime: 0} {
+		v, ok := d.Upstream("a", start.Add(after))
+		require.True(t, ok)
+		require.Equal(t, want, v.EventTime)
+	}
+}
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -25,12 +25,19 @@
 	mu     sync.Mutex
 	report directory.Report
 	err    error
+	// eventTime is the time between the events of the run "r", 0 for no run.
+	eventTime time.Duration
+	start     time.Time
 }
 
 func (s *scriptedUpstream) Report(context.Context, string) (directory.Report, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.report, s.err
+	report := s.report
+	if s.eventTime > 0 {
+		report.Runs = []directory.Run{{ID: "r", Events: int(time.Since(s.start) / s.eventTime)}}
+	}
+	return report, s.err
 }
 
 func (s *scriptedUpstream) set(r directory.Report, err error) {
@@ -125,3 +132,14 @@
 	require.Equal(t, http.StatusOK, post(t, TryAcquirePath, `{"id":"r2"}`))
 	require.Equal(t, http.StatusBadRequest, post(t, TryAcquirePath, `{`))
 }
+
+// Guards against a pace that routers are not sent, and one that outlives the engine's
+// incarnation.
+func TestStreamReportsPace(t *testing.T) {
+	upstream := &scriptedUpstream{report: directory.Report{Incarnation: 7}, eventTime: 20 * time.Millisecond, start: time.Now()}
+	stream := serve(t, upstream)
+	line := stream.await(t, func(l Line) bool { return l.EventMicros > 0 })
+	require.Positive(t, line.Report().EventTime)
+	upstream.set(directory.Report{Incarnation: 8, Waiting: 1}, nil)
+	require.Zero(t, stream.await(t, func(l Line) bool { return l.Incarnation == 8 }).EventMicros)
+}
--- a/internal/process/router/relocation/relocation_test.go
+++ b/internal/process/router/relocation/relocation_test.go
@@ -379,6 +379,34 @@
 	require.Empty(t, h.relocator.runs)
 }
 
+// Guards against moving a run to an engine whose pace exceeds the gap that its caller
+// accepts, also if only slow engines and one that cannot be used have room.
+func TestMovesAvoidSlowTargets(t *testing.T) {
+	for gap, want := range map[time.Duration]string{0: "near", 180 * time.Millisecond: "far"} {
+		h := newHarness(t, stubTurns{}, copyAtOnce)
+		for id, eventTime := range map[string]time.Duration{"source": 25 * time.Millisecond, "near": 60 * time.Millisecond, "far": 25 * time.Millisecond} {
+			h.directory.ObserveReport(id, directory.Report{MemoryTotal: 1000, EventTime: eventTime}, time.Now())
+		}
+		source, ok := h.directory.Upstream("source", time.Now())
+		require.True(t, ok)
+		r := NewRun("r1", "lm", source, 100, 50).WithMaxEventGap(gap)
+		h.relocator.Begin(t.Context(), r)
+		r.Event()
+		h.leave("source")
+		require.Equal(t, want, settledHandoff(t, r).Target.ID)
+	}
+}
+
+// Guards against a run near its end that avoids slow engines as a long one does.
+func TestRemainingEvents(t *testing.T) {
+	r := NewRun("r", "lm", directory.View{}, 1000, 42)
+	for want := 10; want >= -2; want-- {
+		require.Equal(t, max(0, want), r.remainingEvents(4))
+		r.Event()
+	}
+	require.Equal(t, 42-r.Events(), r.remainingEvents(0), "an event has one token at least")
+}
+
 // Guards against ordering runs by size alone. The priority is the value lost per
 // token copied.
 func TestRunPriority(t *testing.T) {
--- a/internal/process/router/reporterclient/reporterclient_test.go
+++ b/internal/process/router/reporterclient/reporterclient_test.go
@@ -115,8 +115,10 @@
 // that another router suspects the upstream.
 func TestReportsAndSuspicionsReachDirectory(t *testing.T) {
 	_, d, scripted := newClient(t)
-	scripted.lines <- reporter.Line{Incarnation: 7, Waiting: 2, Running: 1, MemoryUsed: 9, MemoryTotal: 10, Suspicions: 3}
-	await(t, d, func(v directory.View) bool { return v.Reported && v.Waiting == 2 && v.MemoryUsed == 9 })
+	scripted.lines <- reporter.Line{Incarnation: 7, Waiting: 2, Running: 1, MemoryUsed: 9, MemoryTotal: 10, EventMicros: 28_000, Suspicions: 3}
+	await(t, d, func(v directory.View) bool {
+		return v.Reported && v.Waiting == 2 && v.MemoryUsed == 9 && v.EventTime == 28*time.Millisecond
+	})
 	require.False(t, view(t, d).Suspect, "the suspicions in a first line may be old")
 	scripted.lines <- reporter.Line{Incarnation: 7, Suspicions: 4}
 	await(t, d, func(v directory.View) bool { return v.Suspect && v.Waiting == 0 })
--- a/internal/process/router/selection/pace.go
+++ b/internal/process/router/selection/pace.go
@@ -22,9 +22,9 @@
 	// engine: 1 for its memory, 1.35 for the pressure of a prompt of a tenth of its
 	// memory, and the random part of the score.
 	slowPenalty = 2.5
-	// maxSlowPenalty keeps the penalty for a slow engine below that for an engine
-	// that does not answer.
-	maxSlowPenalty = 8.0
+	// maxSlowPenalty is the load of a full engine with a waiting prompt. Further
+	// prompts there wait for memory and preempt runs, which causes gaps as well.
+	maxSlowPenalty = 4.0
 	// maxRelativePace bounds the weight of waiting prompts at an engine by its pace.
 	maxRelativePace = 4.0
 	// stackEventTimes is the number of event times whose median is found without an
@@ -37,6 +37,9 @@
 func MedianEventTime(views []directory.View) time.Duration {
 	var buffer [stackEventTimes]time.Duration
 	known := buffer[:0]
+	if len(views) > len(buffer) {
+		known = make([]time.Duration, 0, len(views))
+	}
 	for i := range views {
 		if views[i].EventTime > 0 {
 			known = append(known, views[i].EventTime)
--- /dev/null
+++ b/internal/request/forwarding/gap_test.go
@@ -0,0 +1,73 @@
+package forwarding
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+// newPacedHarness returns a router with an engine in its data centre that needs 70 ms
+// for an event, and one elsewhere that needs 25 ms. Streams may have gaps of 180 ms.
+func newPacedHarness(t *testing.T) (*harness, tally.TestScope) {
+	t.Helper()
+	h := newHarness(t, streamEvents(1, 3, false), streamEvents(1, 3, false))
+	routes := testRoutes()
+	for i := range routes {
+		routes[i].MaxEventGap = 180 * time.Millisecond
+	}
+	h.table = routetable.New(routetable.TableContent{
+		Version: 2, Routes: routes, Services: []routetable.Service{{Name: "desk", Engine: &routetable.Engine{MemoryTokens: 30_000, EventTokens: 4}}},
+		AccountKeys: map[string]routetable.Account{testKey: {Name: "bakery"}},
+	})
+	for id, eventTime := range map[string]time.Duration{"u-1": 70 * time.Millisecond, "u-2": 25 * time.Millisecond} {
+		h.directory.ObserveReport(id, directory.Report{Incarnation: 1, MemoryTotal: 30_000, EventTime: eventTime}, time.Now())
+	}
+	scope := tally.NewTestScope("", nil)
+	h.forwarder.Metrics = NewMetrics(scope)
+	return h, scope
+}
+
+// Guards against sizes or gaps that do not reach the choice of the engine and of the
+// targets of moves, and against a metric that is tagged with the wrong prediction.
+func TestLongStreamsAvoidSlowEngines(t *testing.T) {
+	for sizes, want := range map[string]struct{ upstream, predicted string }{
+		"100,32": {"u-2", "kept"},
+		"100,31": {"u-1", "exceeded"},
+		"":       {"u-1", "exceeded"},
+	} {
+		h, scope := newPacedHarness(t)
+		r := h.request(http.MethodPost, "/draft/x", "")
+		r.Header.Set(testNames.TokenCounts, sizes)
+		response := h.do(r)
+		_, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, want.upstream, strings.TrimPrefix(response.Header.Get(testNames.Seal), "seal-of-"), sizes)
+		require.Len(t, h.relocator.runs, 1)
+		require.Eventually(t, func() bool {
+			for _, histogram := range scope.Snapshot().Histograms() {
+				if histogram.Name() == "forward.longest_gap" && histogram.Tags()["predicted"] == want.predicted {
+					return histogram.Tags()["moved"] == "false"
+				}
+			}
+			return false
+		}, 2*time.Second, 5*time.Millisecond, sizes)
+	}
+}
+
+// Guards against a prediction that holds an engine of unknown pace for a fast one.
+func TestPredictGap(t *testing.T) {
+	for eventTime, want := range map[time.Duration]gapPrediction{
+		0: gapUnknown, 25 * time.Millisecond: gapKept, 60 * time.Millisecond: gapKept, 61 * time.Millisecond: gapExceeded,
+	} {
+		require.Equal(t, want, predictGap(directory.View{EventTime: eventTime}, 180*time.Millisecond))
+	}
+	require.Equal(t, gapUnknown, predictGap(directory.View{EventTime: time.Second}, 0))
+}
