--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -82,7 +82,9 @@
 	}
 	tokens := c.sizes.Prompt + c.sizes.Output
 	views := c.Directory.Service(c.service.Name, now)
-	request.MedianEventTime = selection.MedianEventTime(views)
+	if request.MaxEventGap > 0 {
+		request.MedianEventTime = selection.MedianEventTime(views)
+	}
 	c.blockPaused(views)
 	for range views {
 		v, ok := selection.Choose(views, request, rand.Float64)
@@ -106,14 +108,17 @@
 }
 
 func (c *call) logChoice(v directory.View, views []directory.View, r selection.Request) {
-	c.Log.Emit(eventlog.UpstreamChosen).Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
+	line := c.Log.Emit(eventlog.UpstreamChosen).Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
 		Int64("table_version", c.table.Version()).Int("usable", len(views)).Int("paused", c.paused).
 		Int("with_room", selection.CountWithRoom(views, r)).Bool("reported", v.Reported).
 		Dur("report_age", v.ReportAge).Int("waiting", v.Waiting).Int("running", v.Running).Int("memory_used", v.MemoryUsed).
 		Int("calls", v.Calls).Float64("failure_rate", v.FailureRate).Bool("cold", v.Cold).
-		Dur("event_time", v.EventTime).Dur("median_event_time", r.MedianEventTime).Dur("max_event_gap", r.MaxEventGap).
-		Int("output_events", r.OutputEvents).
-		Dur("time_left", c.deadline.Sub(c.Clock())).Send()
+		Dur("time_left", c.deadline.Sub(c.Clock()))
+	if r.MaxEventGap > 0 {
+		line = line.Dur("event_time", v.EventTime).Dur("median_event_time", r.MedianEventTime).
+			Dur("max_event_gap", r.MaxEventGap).Int("output_events", r.OutputEvents)
+	}
+	line.Send()
 }
 
 // send sends the request to the upstream and records the outcome in the
