Shorten the table test of the choice by pace

The first case now has full engines at 47 ms, just under the ratio at which 60 ms counts as slow, where the penalty is lowest.

--- a/internal/process/router/selection/pace_test.go
+++ b/internal/process/router/selection/pace_test.go
@@ -112,64 +112,33 @@
 	})
 }
 
+// Guards against weights that do not keep the order that callers' needs give: between
+// a slow engine and one that is loaded, of unknown pace or does not answer.
 func TestChooseByPace(t *testing.T) {
-	paced := func(id string, eventTime time.Duration, change func(v *directory.View)) directory.View {
+	loaded := func(id string, eventTime time.Duration, running, waiting, used int) directory.View {
 		v := view(id, "dc-1")
-		v.EventTime = eventTime
-		if change != nil {
-			change(&v)
-		}
+		v.EventTime, v.Running, v.Waiting, v.MemoryUsed = eventTime, running, waiting, used
 		return v
 	}
-	full := func(v *directory.View) { v.Running, v.MemoryUsed = 23, 30_000 }
-	crowded := func(v *directory.View) { v.Running, v.Waiting, v.MemoryUsed = 23, 3, 39_000 }
-	busy := func(v *directory.View) { v.Running, v.MemoryUsed = 8, 9_000 }
-	waiting := func(n int) func(v *directory.View) { return func(v *directory.View) { v.Waiting = n } }
-	median := func(id string) directory.View { return paced(id, 23*time.Millisecond, full) }
+	const fast, third = 23 * time.Millisecond, gap / 3
+	slow, full := loaded("slow", third, 0, 0, 0), loaded("full", fast, 23, 0, 30_000)
+	suspect := loaded("suspect", fast, 0, 0, 0)
+	suspect.Suspect = true
 	long := Request{DataCentre: "dc-1", Tokens: 3_000, MemoryTokens: 30_000, MaxEventGap: gap, OutputEvents: 186}
 	short := long
 	short.OutputEvents = 2
 	cases := []struct {
-		name  string
-		r     Request
-		views []directory.View
-		want  string
+		name, want string
+		r          Request
+		views      []directory.View
 	}{
-		{
-			"at a third of the gap, a full engine is better than an idle slow one", long,
-			[]directory.View{paced("slow", gap/3, nil), paced("fast", 40*time.Millisecond, full), median("m")},
-			"fast",
-		},
-		{
-			"an engine far from the gap may be slower than others", long,
-			[]directory.View{paced("slow", 30*time.Millisecond, nil), paced("fast", 23*time.Millisecond, busy), median("m")},
-			"slow",
-		},
-		{
-			"an engine where prompts wait for memory is worse than a slow one", long,
-			[]directory.View{paced("slow", time.Second, nil), paced("a", 23*time.Millisecond, crowded), paced("b", 23*time.Millisecond, crowded)},
-			"slow",
-		},
-		{
-			"short outputs are as well off at an idle slow engine", short,
-			[]directory.View{paced("slow", gap/3, nil), paced("fast", 23*time.Millisecond, busy), median("m")},
-			"slow",
-		},
-		{
-			"prompts before a short output take longer at a slow engine", short,
-			[]directory.View{paced("slow", gap/3, waiting(1)), paced("fast", 23*time.Millisecond, waiting(2)), median("m")},
-			"fast",
-		},
-		{
-			"an engine of unknown pace counts as the median", long,
-			[]directory.View{paced("slow", gap/3, nil), paced("unknown", 0, busy), median("m")},
-			"unknown",
-		},
-		{
-			"a slow engine is better than one that does not answer", long,
-			[]directory.View{paced("slow", time.Second, nil), paced("suspect", 23*time.Millisecond, func(v *directory.View) { v.Suspect = true })},
-			"slow",
-		},
+		{"at a third of the gap, a full engine is better than an idle slow one", "near", long, []directory.View{slow, loaded("near", 47*time.Millisecond, 23, 0, 30_000), loaded("near", 47*time.Millisecond, 23, 0, 30_000)}},
+		{"an engine far from the gap may be slower", "late", long, []directory.View{loaded("late", 30*time.Millisecond, 0, 0, 0), loaded("busy", fast, 8, 0, 9_000), full}},
+		{"an engine where prompts wait for memory is worse than a slow one", "slow", long, []directory.View{loaded("slow", time.Second, 0, 0, 0), loaded("a", fast, 23, 3, 39_000), loaded("b", fast, 23, 3, 39_000)}},
+		{"short outputs are as well off at an idle slow engine", "slow", short, []directory.View{slow, loaded("busy", fast, 8, 0, 9_000), full}},
+		{"prompts before a short output take longer at a slow engine", "fast", short, []directory.View{loaded("slow", third, 0, 1, 0), loaded("fast", fast, 0, 2, 0), full}},
+		{"an engine of unknown pace counts as the median", "unknown", long, []directory.View{slow, loaded("unknown", 0, 8, 0, 9_000), full}},
+		{"a slow engine is better than one that does not answer", "slow", long, []directory.View{loaded("slow", time.Second, 0, 0, 0), suspect}},
 	}
 	for _, c := range cases {
 		require.Equal(t, c.want, chosen(t, c.views, c.r), c.name)
