Compare the pace of engines with that of the fastest eighth

The penalty grows with the sixth power of the share of the gap, so that engines far below it are chosen by load as before.

--- a/internal/process/router/selection/pace.go
+++ b/internal/process/router/selection/pace.go
@@ -11,12 +11,16 @@
 	// minPacedEvents is the number of expected events from which an output is long
 	// enough to meet slow events.
 	minPacedEvents = 8
-	// slowRatio is the ratio of an engine's event time to the median above which the
+	// slowRatio is the ratio of an engine's event time to the reference above which the
 	// engine counts as slow.
 	slowRatio = 1.25
 	// gapMultiple is the factor by which an interval grows when the engine is in
-	// prefill or is slowed for a short time.
-	gapMultiple = 3.0
+	// prefill, which doubles a step, and is slowed to 0.4 of its pace for a short time.
+	gapMultiple = 5.0
+	// referenceShare is the inverse of the share of the engines whose event time is
+	// the reference or less. With the median as reference, engines would not count as
+	// slow where most are.
+	referenceShare = 8
 	// slowPenalty is the penalty for a slow engine whose event time, multiplied by
 	// gapMultiple, is the request's MaxEventGap. It outweighs the load of a full
 	// engine: 1 for its memory, 1.35 for the pressure of a prompt of a tenth of its
@@ -27,14 +31,14 @@
 	maxSlowPenalty = 4.0
 	// maxRelativePace bounds the weight of waiting prompts at an engine by its pace.
 	maxRelativePace = 4.0
-	// stackEventTimes is the number of event times whose median is found without an
+	// stackEventTimes is the number of event times that are sorted without an
 	// allocation. A router follows 32 reporters and those of engines in use.
 	stackEventTimes = 256
 )
 
-// MedianEventTime returns the median of the known event times of the upstreams, the
-// lower one of two, and 0 if none is known.
-func MedianEventTime(views []directory.View) time.Duration {
+// ReferenceEventTime returns the event time that the fastest eighth of the upstreams
+// do not exceed, of those whose event time is known, and 0 if none is.
+func ReferenceEventTime(views []directory.View) time.Duration {
 	var buffer [stackEventTimes]time.Duration
 	known := buffer[:0]
 	if len(views) > len(buffer) {
@@ -49,7 +53,7 @@
 		return 0
 	}
 	slices.Sort(known)
-	return known[(len(known)-1)/2]
+	return known[(len(known)-1)/referenceShare]
 }
 
 // KeepsGap reports whether the upstream is predicted to keep the gap: its event time
@@ -60,12 +64,12 @@
 
 // pacePenalty returns the part of the score that depends on the pace of the upstream.
 // It is 0 if the request has no MaxEventGap or if the event time of the upstream is
-// unknown or the median.
-func pacePenalty(v *directory.View, r Request, median time.Duration) float64 {
-	if r.MaxEventGap <= 0 || v.EventTime <= 0 || median <= 0 {
+// unknown or the reference.
+func pacePenalty(v *directory.View, r Request, reference time.Duration) float64 {
+	if r.MaxEventGap <= 0 || v.EventTime <= 0 || reference <= 0 {
 		return 0
 	}
-	ratio := float64(v.EventTime) / float64(median)
+	ratio := float64(v.EventTime) / float64(reference)
 	if r.OutputEvents < minPacedEvents {
 		return waitingPenalty(v, ratio)
 	}
@@ -79,13 +83,14 @@
 	return waitingLoad * float64(v.Waiting) * (weight - 1)
 }
 
-// slowEnginePenalty returns the penalty for an upstream whose ratio to the median
-// exceeds slowRatio. It grows with the third power of the share of the gap, since an
-// engine far below it is hardly a risk, and with the excess over the median.
+// slowEnginePenalty returns the penalty for an upstream whose ratio to the
+// reference exceeds slowRatio. It grows with the sixth power of the share of the gap,
+// since an engine far below it is hardly a risk, and with that ratio.
 func slowEnginePenalty(v *directory.View, r Request, ratio float64) float64 {
 	if ratio <= slowRatio {
 		return 0
 	}
 	share := gapMultiple * float64(v.EventTime) / float64(r.MaxEventGap)
-	return min(maxSlowPenalty, slowPenalty*share*share*share*ratio/slowRatio)
+	cube := share * share * share
+	return min(maxSlowPenalty, slowPenalty*cube*cube*ratio/slowRatio)
 }
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -83,7 +83,7 @@
 	tokens := c.sizes.Prompt + c.sizes.Output
 	views := c.Directory.Service(c.service.Name, now)
 	if request.MaxEventGap > 0 {
-		request.MedianEventTime = selection.MedianEventTime(views)
+		request.ReferenceEventTime = selection.ReferenceEventTime(views)
 	}
 	c.blockPaused(views)
 	for range views {
@@ -115,7 +115,7 @@
 		Int("calls", v.Calls).Float64("failure_rate", v.FailureRate).Bool("cold", v.Cold).
 		Dur("time_left", c.deadline.Sub(c.Clock()))
 	if r.MaxEventGap > 0 {
-		line = line.Dur("event_time", v.EventTime).Dur("median_event_time", r.MedianEventTime).
+		line = line.Dur("event_time", v.EventTime).Dur("reference_event_time", r.ReferenceEventTime).
 			Dur("max_event_gap", r.MaxEventGap).Int("output_events", r.OutputEvents)
 	}
 	line.Send()
