--- /dev/null
+++ b/internal/process/router/dispatch/dispatch.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/flamingohold/flamingohold/internal/version/route"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+const (
+	// DefaultHeadroom is the share of an engine's memory that must stay free beside a
+	// request that can wait. It is enough for one urgent prompt, or for one run that
+	// moves to the engine.
+	DefaultHeadroom = 0.12
+	// maxPriority is the priority of the least urgent requests.
+	maxPriority = 9
+	// minTargetExcess is how much longer the latency target of a route that can wait
+	// is than that of the most urgent route. Less leaves no time to wait after the
+	// prompt's own.
+	minTargetExcess = time.Second
+	// promptTokensPerMillisecond is the assumed rate at which an engine processes
+	// prompts while it also generates.
+	promptTokensPerMillisecond = 7
+	// sendMargin is the time from the send of a request to the start of its prompt,
+	// and from the end of its prompt to the first event at the caller.
+	sendMargin = 300 * time.Millisecond
+)
+
+// Policy is the policy of one version of the route table. It is immutable.
+type Policy struct {
+	// services holds the services for which the policy is enabled.
+	services map[string]urgent
+}
+
+// urgent describes the most urgent streaming routes of a service.
+type urgent struct {
+	priority int
+	// target is the shortest latency target of these routes.
+	target time.Duration
+}
+
+// New returns the policy of the route table.
+func New(t *routetable.Table) *Policy {
+	p := &Policy{services: make(map[string]urgent)}
+	mostUrgent := make(map[string]urgent)
+	eachStream(t, func(r *route.Route, service string) {
+		u, known := mostUrgent[service]
+		priority, _ := clamp(r.Priority)
+		if !known || priority < u.priority || priority == u.priority && r.LatencyTarget < u.target {
+			mostUrgent[service] = urgent{priority: priority, target: r.LatencyTarget}
+		}
+	})
+	eachStream(t, func(r *route.Route, service string) {
+		priority, _ := clamp(r.Priority)
+		if u := mostUrgent[service]; u.allowsWait(r, priority) {
+			p.services[service] = u
+		}
+	})
+	return p
+}
+
+// eachStream calls f with each streaming route that has a latency target, and each
+// service with engines to which it sends requests.
+func eachStream(t *routetable.Table, f func(r *route.Route, service string)) {
+	routes := t.Routes()
+	for i := range routes {
+		r := &routes[i]
+		if r.Kind != route.Streaming || r.LatencyTarget <= 0 {
+			continue
+		}
+		for _, share := range r.Shares {
+			s := t.Service(share.Service)
+			if share.Weight > 0 && s != nil && s.Engine != nil {
+				f(r, share.Service)
+			}
+		}
+	}
+}
+
+// allowsWait reports whether a request of the route with the priority can wait for
+// the most urgent ones.
+func (u urgent) allowsWait(r *route.Route, priority int) bool {
+	return r.Kind == route.Streaming && priority > u.priority && r.LatencyTarget >= u.target+minTargetExcess
+}
+
+// clamp returns the priority within its range, and whether it was outside.
+func clamp(priority int) (clamped int, invalid bool) {
+	clamped = max(0, min(maxPriority, priority))
+	return clamped, clamped != priority
+}
+
+// Request describes a request of a caller.
+type Request struct {
+	Route   *route.Route
+	Service *routetable.Service
+	// AccountPriority overrides the priority of the route; nil keeps the route's.
+	AccountPriority *int
+	// PromptTokens is the size of the prompt in tokens, 0 for unknown.
+	PromptTokens int
+	// Received is when the router received the request, Deadline when it must be
+	// answered.
+	Received, Deadline time.Time
+}
+
+// Decision is how a request is dispatched.
+type Decision struct {
+	// Enabled is true if the policy is enabled for the service. The other fields are
+	// zero otherwise.
+	Enabled bool
+	// Priority is the priority of the request, from 0 for the most urgent to 9.
+	Priority int
+	// CanWait is true if the request may wait at the router until SendBy.
+	CanWait bool
+	SendBy  time.Time
+	// Target is the time after which the request is late, zero for never.
+	Target time.Time
+	// PromptTime is the time that the prompt is expected to need at an engine.
+	PromptTime time.Duration
+	// DeadlineTooShort is true if the deadline leaves less than PromptTime.
+	DeadlineTooShort bool
+	// InvalidPriority is true if the configured priority is out of range, and
+	// InvalidSize if the prompt exceeds an engine's memory. Both are clamped.
+	InvalidPriority, InvalidSize bool
+}
+
+// Decide returns how the request is dispatched.
+func (p *Policy) Decide(r Request) Decision {
+	u, enabled := p.services[r.Service.Name]
+	if !enabled {
+		return Decision{}
+	}
+	d := Decision{Enabled: true}
+	configured := r.Route.Priority
+	if r.AccountPriority != nil {
+		configured = *r.AccountPriority
+	}
+	d.Priority, d.InvalidPriority = clamp(configured)
+	tokens := r.PromptTokens
+	if memory := r.Service.Engine.MemoryTokens; memory > 0 && tokens > memory {
+		tokens, d.InvalidSize = memory, true
+	}
+	d.PromptTime = time.Duration(tokens) * time.Millisecond / promptTokensPerMillisecond
+	d.DeadlineTooShort = r.Deadline.Sub(r.Received) < d.PromptTime
+	if r.Route.LatencyTarget <= 0 {
+		return d
+	}
+	d.Target = r.Received.Add(r.Route.LatencyTarget)
+	d.CanWait = u.allowsWait(r.Route, d.Priority)
+	d.SendBy = earlier(d.Target, r.Deadline).Add(-d.PromptTime - sendMargin)
+	return d
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Rank returns the rank that an engine gets with the request: its priority, or one
+// less urgent once it is late.
+func (d Decision) Rank(now time.Time) int {
+	if d.Target.IsZero() || !now.After(d.Target) {
+		return d.Priority
+	}
+	return min(maxPriority, d.Priority+1)
+}
--- a/internal/version/routetable/routetable.go
+++ b/internal/version/routetable/routetable.go
@@ -101,6 +101,9 @@
 // Version returns the version number, which increases with each change.
 func (t *Table) Version() int64 { return t.content.Version }
 
+// Routes returns all routes. The result must not be changed.
+func (t *Table) Routes() []route.Route { return t.content.Routes }
+
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits { return t.content.Limits }
 
