Ask engines for room, and let requests that can wait do so

Where the route table enables it, a router asks up to three engines in order of their scores for a reservation before it sends a request. A request that can wait asks with headroom, waits in the queue while none has room, and is sent to the engine with the lowest score when it is due. A reservation is released if the request does not run. Without Options.Reservations nothing changes, which is so until the reporter client has the calls.

A request that may have run never enters the queue, because a full queue refuses requests as not run. When a request looks for room again, engines whose last report shows none are not asked: three calls every 50 ms are 60 calls a second, about the 20 KB/s that a router may spend on control (arithmetic, not measured).

A caller that disconnects while its request waits, for the queue or for a permit, is recorded as such; it got the refusal timeout_not_run before.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -96,6 +96,9 @@
 	// the state of the upstreams.
 	notices  *drainnotice.Notices
 	coldRate ColdRate
+	// roomFreed is closed by the next report of an upstream that has more room than
+	// before, nil if nobody waits for one.
+	roomFreed chan struct{}
 	// onDeparture is called for each upstream that starts to leave, onSuspect for
 	// each upstream that this process starts to suspect. Neither is called with the
 	// lock held.
@@ -131,6 +134,9 @@
 		d.mu.Unlock()
 		return
 	}
+	if r.Waiting < u.report.Waiting || r.Running < u.report.Running || r.MemoryUsed < u.report.MemoryUsed {
+		d.notifyRoomFreed()
+	}
 	wasLeaving := u.isLeaving(now)
 	u.report = r
 	u.reportedAt = now
@@ -145,6 +151,25 @@
 	}
 }
 
+// RoomFreed returns a channel that is closed by the next report of an upstream that has
+// fewer prompts or generations, or less memory in use, than in its report before.
+func (d *Directory) RoomFreed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.roomFreed == nil {
+		d.roomFreed = make(chan struct{})
+	}
+	return d.roomFreed
+}
+
+// notifyRoomFreed closes the channel of RoomFreed. The lock must be held.
+func (d *Directory) notifyRoomFreed() {
+	if d.roomFreed != nil {
+		close(d.roomFreed)
+		d.roomFreed = nil
+	}
+}
+
 // Service returns the views of all upstreams of the service that may get new
 // work.
 func (d *Directory) Service(service string, now time.Time) []View {
--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -197,6 +197,15 @@
 		"An upstream refused the request and wants no further one from this process for the time that is counted; other upstreams are used meanwhile.",
 		"Add capacity to the service if its upstreams ask for pauses often.",
 	}
+	RequestWaits = Event{
+		6060, "request_waits", zerolog.InfoLevel,
+		"A request that can wait found no engine with room, or more urgent requests wait; it is sent at the latest when its line says.",
+		"Add engines to the service if requests wait often.",
+	}
+	RequestWaitEnded = Event{
+		6061, "request_wait_ended", zerolog.InfoLevel,
+		"The wait of a request ended for the reason in the line: an engine granted room, it was due, it was refused, or it was cancelled.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -220,5 +229,6 @@
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
 		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused, StoreReadCompletely, StoreRestored, ItemOutdated,
 		UpstreamStatedLeaving, UpstreamStatementInvalid, UpstreamAskedPause,
+		RequestWaits, RequestWaitEnded,
 	}
 }
--- a/internal/process/router/selection/selection.go
+++ b/internal/process/router/selection/selection.go
@@ -188,3 +188,14 @@
 	}
 	return n
 }
+
+// HasCandidate reports whether Choose returns an upstream.
+func HasCandidate(views []directory.View, r Request) bool {
+	for i := range views {
+		v := &views[i]
+		if !r.Exclude[v.ID] && !v.Blocked && !v.Leaving {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/router/waitqueue/waitqueue.go
+++ b/internal/process/router/waitqueue/waitqueue.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// DefaultRequests and DefaultBytes are the default bounds of the queue of a
-	// process.
+	// DefaultRequests is the default bound on the number of waiting requests.
 	DefaultRequests = 512
-	DefaultBytes    = 16 << 20
+	// DefaultBytes is the default bound on the bytes of all waiting bodies.
+	DefaultBytes = 16 << 20
 	// initialInterval is the assumed time between two requests that leave the queue
 	// before it is known, and maxInterval bounds it: a longer pause was without load.
 	initialInterval = 50 * time.Millisecond
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -75,36 +75,59 @@
 // chooseUpstream chooses an upstream and adds the request to its load in the
 // directory. The function done must be called when the request has ended there.
 func (c *call) chooseUpstream(ctx context.Context) (v directory.View, done func(), ok bool) {
-	now := c.Clock()
-	request := selection.Request{
-		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
+	c.reservation = reservationState{}
+	if c.dispatch.Enabled {
+		v, done, ok := c.chooseWithRoom(ctx)
+		if ok || c.rejection != nil || ctx.Err() != nil {
+			return v, done, ok
+		}
 	}
-	tokens := c.sizes.Prompt + c.sizes.Output
-	views := c.Directory.Service(c.service.Name, now)
-	c.blockPaused(views)
+	return c.chooseByScore(ctx)
+}
+
+// chooseByScore chooses the upstream with the lowest score that may get the request.
+func (c *call) chooseByScore(ctx context.Context) (v directory.View, done func(), ok bool) {
+	views, request := c.candidates()
 	for range views {
 		v, ok := selection.Choose(views, request, rand.Float64)
 		if !ok {
 			return directory.View{}, nil, false
 		}
 		c.tried[v.ID] = true
-		if c.acquire(ctx, v, func() bool { return !hasCandidate(views, request) }) {
-			c.Directory.Add(v.ID, tokens)
-			c.logChoice(v, views, request)
-			return v, func() { c.Directory.End(v.ID, tokens) }, true
+		if c.acquire(ctx, v, func() bool { return !selection.HasCandidate(views, request) }) {
+			return v, c.begin(v, views, request), true
 		}
 	}
 	return directory.View{}, nil, false
 }
 
-// hasCandidate reports whether an upstream may be chosen for the request.
-func hasCandidate(views []directory.View, r selection.Request) bool {
-	_, ok := selection.Choose(views, r, rand.Float64)
-	return ok
+// candidates returns the views of the service's upstreams, and the request for the
+// selection of one that was not tried.
+func (c *call) candidates() ([]directory.View, selection.Request) {
+	views := c.Directory.Service(c.service.Name, c.Clock())
+	c.blockPaused(views)
+	return views, selection.Request{
+		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
+	}
+}
+
+// begin adds the request to the load of the chosen upstream and sets its rank there.
+// The result must be called when the request has ended there.
+func (c *call) begin(v directory.View, views []directory.View, r selection.Request) (done func()) {
+	c.rank = c.dispatch.Rank(c.Clock())
+	tokens := c.sizes.Prompt + c.sizes.Output
+	c.Directory.Add(v.ID, tokens)
+	c.logChoice(v, views, r)
+	return func() { c.Directory.End(v.ID, tokens) }
 }
 
 func (c *call) logChoice(v directory.View, views []directory.View, r selection.Request) {
-	c.Log.Emit(eventlog.UpstreamChosen).Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
+	e := c.Log.Emit(eventlog.UpstreamChosen)
+	if c.dispatch.Enabled {
+		e = e.Int("rank", c.rank).Str("reservation", c.reservation.String()).Int("reservations_asked", c.reservation.asked).
+			Dur("waited", c.waited)
+	}
+	e.Str("request_id", c.id).Str("route", c.route.Name).Str("upstream", v.ID).
 		Int64("table_version", c.table.Version()).Int("usable", len(views)).Int("paused", c.paused).
 		Int("with_room", selection.CountWithRoom(views, r)).Bool("reported", v.Reported).
 		Dur("report_age", v.ReportAge).Int("waiting", v.Waiting).Int("running", v.Running).Int("memory_used", v.MemoryUsed).
@@ -122,6 +145,7 @@
 	c.observeLimit(v, result, answer, sentAt, now)
 	c.observeLeaving(v, result, answer, now)
 	c.observePause(v, answer, now)
+	c.endReservation(v, result)
 	switch result {
 	case unsent:
 		c.Directory.MarkUnreachable(v.ID, now)
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,12 +13,15 @@
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
+	"github.com/flamingohold/flamingohold/internal/process/router/dispatch"
 	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 	"github.com/flamingohold/flamingohold/internal/process/router/relocation"
 	"github.com/flamingohold/flamingohold/internal/process/router/retrywindow"
 	"github.com/flamingohold/flamingohold/internal/process/router/sendgate"
 	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
 	"github.com/flamingohold/flamingohold/internal/process/router/upstreampause"
+	"github.com/flamingohold/flamingohold/internal/process/router/waitqueue"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
 	"github.com/flamingohold/flamingohold/internal/version/route"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
@@ -52,6 +56,16 @@
 	ConfirmReturn(v directory.View) error
 }
 
+// Reservations reserves room at engines, so that routers which choose by the same
+// report do not allocate the same capacity twice.
+type Reservations interface {
+	// Reserve asks for room at the upstream. A decision without an answer of the
+	// upstream's reporter is granted, and marked as unconfirmed.
+	Reserve(ctx context.Context, v directory.View, r reservation.Request) reservation.Decision
+	// ReleaseReservation ends the reservation of the request with the identifier.
+	ReleaseReservation(v directory.View, id string)
+}
+
 // Options are the dependencies of a forwarder.
 type Options struct {
 	Names      headers.Names
@@ -67,8 +81,15 @@
 	// Limits holds the rate limits that upstreams state.
 	Limits *statedlimit.Limits
 	// Pauses holds the pauses that upstreams ask for.
-	Pauses        *upstreampause.Pauses
-	Gate          Gate
+	Pauses *upstreampause.Pauses
+	Gate   Gate
+	// Reservations is nil if requests are sent without reservations, ranks and waits.
+	Reservations Reservations
+	// Queue holds the requests that wait, nil for a queue with the default bounds.
+	Queue *waitqueue.Queue
+	// Headroom is the share of an engine's memory that must stay free beside a request
+	// that can wait, 0 for the default.
+	Headroom      float64
 	IsResponsible func(name string) bool
 	Relocator     Relocator
 	Log           *eventlog.Log
@@ -86,10 +107,22 @@
 
 // Forwarder is the HTTP handler for callers' requests. It is safe for
 // concurrent use.
-type Forwarder struct{ Options }
+type Forwarder struct {
+	Options
+	// policy is the policy of the route table that the last request used.
+	policy atomic.Pointer[tablePolicy]
+}
 
 // New returns a forwarder.
-func New(o Options) *Forwarder { return &Forwarder{Options: o} }
+func New(o Options) *Forwarder {
+	if o.Queue == nil {
+		o.Queue = waitqueue.New(waitqueue.Bounds{})
+	}
+	if o.Headroom <= 0 {
+		o.Headroom = dispatch.DefaultHeadroom
+	}
+	return &Forwarder{Options: o}
+}
 
 // call is one request of a caller.
 type call struct {
@@ -102,6 +135,8 @@
 	route   *route.Route
 	service *routetable.Service
 	account string
+	// accountPriority is the priority of the account, nil if it has none.
+	accountPriority *int
 	// header and body are sent to upstreams.
 	header http.Header
 	body   []byte
@@ -127,6 +162,16 @@
 	sendableIn time.Duration
 	// paused is the number of upstreams that have asked for a pause.
 	paused int
+	// dispatch is how the request is dispatched, rank the rank that its upstream gets.
+	dispatch dispatch.Decision
+	rank     int
+	// reservation is what the request knows of its reservations.
+	reservation reservationState
+	// rejection is why the request is refused without a further attempt, nil if it is
+	// not.
+	rejection *refusal
+	// waited is the time that the request has spent in the queue before this attempt.
+	waited time.Duration
 }
 
 // ServeHTTP serves one request.
@@ -179,16 +224,19 @@
 	c.sizes = c.Names.Tokens(c.r.Header)
 	c.parts = c.Names.SharedParts(c.r.Header)
 	c.setDeadlines()
-	if refused := c.refuseUnfinishable(); refused != nil {
+	if refused := c.refuseUnfinishable(c.received); refused != nil {
+		return refused
+	}
+	if refused := c.refuseBlocked(); refused != nil {
 		return refused
 	}
-	return c.refuseBlocked()
+	return c.decideDispatch()
 }
 
 func (c *call) authenticate() *refusal {
 	account, known := c.table.Account(headers.Key(c.r.Header))
 	if known {
-		c.account = account.Name
+		c.account, c.accountPriority = account.Name, account.Priority
 		return nil
 	}
 	if c.table.RequiresKey(c.route) {
@@ -226,6 +274,9 @@
 	header := c.header.Clone()
 	c.Names.SetTimeLeft(header, c.deadline.Sub(now))
 	header.Set(c.Names.ExpectUpstream, v.ID)
+	if c.dispatch.Enabled {
+		c.Names.SetPriority(header, c.rank)
+	}
 	return &upstreamclient.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
 		ID:         c.id,
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -42,7 +42,7 @@
 var testNames = headers.Names{
 	RequestID: "Request-Id", Deadline: "Time-Left-Ms", Account: "Account", ExpectUpstream: "Expect-Upstream",
 	NotRun: "Not-Run", Seal: "Seal", TokenCounts: "Tokens", LengthHint: "Length-Hint", PromptPrefix: "Prompt-Parts",
-	LastEventID: "Last-Event-Id", KVSource: "Copied-From", KVBackup: "Backup", RateLimit: "Rate-Limit", Leaving: "Leaving", Reserved: []string{"Reserved"},
+	LastEventID: "Last-Event-Id", KVSource: "Copied-From", KVBackup: "Backup", RateLimit: "Rate-Limit", Leaving: "Leaving", Priority: "Rank", Reserved: []string{"Reserved"},
 }
 
 // harness is a router with upstreams whose behaviour the test defines.
--- a/internal/request/forwarding/metrics.go
+++ b/internal/request/forwarding/metrics.go
@@ -44,3 +44,20 @@
 func (m *Metrics) resumed(moved bool) {
 	m.scope.Tagged(map[string]string{"moved": strconv.FormatBool(moved)}).Counter("resumed").Inc(1)
 }
+
+func (m *Metrics) invalidInput(field string) {
+	m.scope.Tagged(map[string]string{"field": field}).Counter("invalid_input").Inc(1)
+}
+
+func (m *Metrics) reservation(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("reservations").Inc(1)
+}
+
+func (m *Metrics) queueLength(priority, requests int) {
+	m.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge("queue_length").Update(float64(requests))
+}
+
+func (m *Metrics) waitEnded(priority int, reason waitEnd, waited time.Duration) {
+	tags := map[string]string{"priority": strconv.Itoa(priority), "reason": string(reason)}
+	m.scope.Tagged(tags).Histogram("queue_wait", latencyBuckets).RecordDuration(waited)
+}
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -61,9 +61,14 @@
 // giveUp ends a request without a successful answer. The caller receives the
 // last error response of an upstream, or a refusal if there is none.
 func (c *call) giveUp(ctx context.Context, failure *plainAnswer) {
+	_, stopping := c.Stopping()
 	switch {
 	case failure != nil:
 		c.deliver(failure)
+	case c.requestCancelled() && !stopping:
+		c.endCancelled(directory.View{})
+	case c.rejection != nil:
+		c.refuse(*c.rejection)
 	case errors.Is(context.Cause(ctx), errPromptBlocked):
 		c.refuse(c.promptBlocked())
 	case c.mayHaveRun && ctx.Err() != nil:
--- a/internal/request/forwarding/refusal.go
+++ b/internal/request/forwarding/refusal.go
@@ -33,7 +33,10 @@
 	upstream string
 	// retryAfter is the delay before the caller may retry, 0 for no retry.
 	retryAfter time.Duration
-	err        error
+	// isSpread is true if the delays of several refusals differ already, so that no
+	// random variation is needed.
+	isSpread bool
+	err      error
 }
 
 // outcome returns whether the request has run, as the problem document states
@@ -53,8 +56,10 @@
 func (c *call) refuse(r refusal) {
 	p := problem.New(r.reason, r.status, r.outcome(), "").WithRequest(c.id)
 	if r.retryAfter > 0 {
-		spread := 1 + retrySpread*(rand.Float64()-0.5)
-		after := time.Duration(float64(r.retryAfter) * spread)
+		after := r.retryAfter
+		if !r.isSpread {
+			after = time.Duration(float64(after) * (1 + retrySpread*(rand.Float64()-0.5)))
+		}
 		p = p.WithRetryAfter(after)
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
--- /dev/null
+++ b/internal/request/forwarding/reservations.go
@@ -0,0 +1,215 @@
+package forwarding
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
+	"github.com/flamingohold/flamingohold/internal/process/router/dispatch"
+	"github.com/flamingohold/flamingohold/internal/process/router/selection"
+	"github.com/flamingohold/flamingohold/internal/version/routetable"
+)
+
+// maxReservationsAsked is the number of engines that a request asks for room at a time.
+// Each call delays the request by a round trip.
+const maxReservationsAsked = 3
+
+// tablePolicy is the dispatch policy of a route table.
+type tablePolicy struct {
+	table  *routetable.Table
+	policy *dispatch.Policy
+}
+
+// policyOf returns the dispatch policy of the route table.
+func (f *Forwarder) policyOf(t *routetable.Table) *dispatch.Policy {
+	if cached := f.policy.Load(); cached != nil && cached.table == t {
+		return cached.policy
+	}
+	p := dispatch.New(t)
+	f.policy.Store(&tablePolicy{table: t, policy: p})
+	return p
+}
+
+// decideDispatch decides how the request is dispatched, or returns why it is refused.
+func (c *call) decideDispatch() *refusal {
+	if c.Reservations == nil {
+		return nil
+	}
+	c.dispatch = c.policyOf(c.table).Decide(dispatch.Request{
+		Route: c.route, Service: c.service, AccountPriority: c.accountPriority,
+		PromptTokens: c.sizes.Prompt, Received: c.received, Deadline: c.deadline,
+	})
+	if c.dispatch.InvalidPriority {
+		c.Metrics.invalidInput("priority")
+	}
+	if c.dispatch.InvalidSize {
+		c.Metrics.invalidInput("prompt_tokens")
+	}
+	if !c.dispatch.DeadlineTooShort {
+		return nil
+	}
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "deadline_too_short", retryAfter: busyRetryAfter,
+		err: errors.Newf("%s are left, but the prompt needs %s", c.deadline.Sub(c.received), c.dispatch.PromptTime),
+	}
+}
+
+// reservationState is what a request knows of its reservations for one attempt.
+type reservationState struct {
+	// id identifies the request to reporters.
+	id string
+	// granted is true from the grant until the reservation is released or used.
+	granted bool
+	// asked is the number of engines asked, last the decision of the last one.
+	asked int
+	last  reservation.Decision
+}
+
+// String returns the result of the last reservation in logs.
+func (s reservationState) String() string {
+	switch {
+	case s.asked == 0:
+		return "none"
+	case s.last.Unconfirmed:
+		return "unconfirmed"
+	case s.last.Granted:
+		return "granted"
+	default:
+		return "refused"
+	}
+}
+
+// chooseWithRoom chooses an upstream that grants a reservation. A request that can wait
+// does so until one does. The result is false if the request must be sent without a
+// reservation, was rejected, or has ended.
+func (c *call) chooseWithRoom(ctx context.Context) (v directory.View, done func(), ok bool) {
+	switch {
+	case !c.dispatch.CanWait || c.mayHaveRun:
+		// A request that may have run cannot be rejected as not run, so that it must not
+		// enter the queue.
+		v, done, result := c.reserve(ctx, roomSearch{})
+		return v, done, result == roomGranted
+	case !c.Clock().Before(c.dispatch.SendBy) || !c.Queue.CanHold(len(c.body)):
+		return directory.View{}, nil, false
+	default:
+		return c.waitForRoom(ctx)
+	}
+}
+
+// roomSearch describes a search for room.
+type roomSearch struct {
+	// headroom is the share of an engine's memory that must stay free.
+	headroom float64
+	// skipFull is true if engines whose report shows no room are not asked.
+	skipFull bool
+	// until is when no further engine is asked, zero for no limit.
+	until time.Time
+}
+
+// ended reports whether no further engine is asked.
+func (s roomSearch) ended(ctx context.Context, now time.Time) bool {
+	return ctx.Err() != nil || !s.until.IsZero() && !now.Before(s.until)
+}
+
+// roomResult is the result of asking engines for room.
+type roomResult int
+
+const (
+	// roomGranted: an engine granted a reservation.
+	roomGranted roomResult = iota
+	// roomRefused: no engine granted one.
+	roomRefused
+	// noCandidate: no upstream may get the request.
+	noCandidate
+)
+
+// reserve asks upstreams in order of their scores for a reservation and chooses the
+// first that grants one.
+func (c *call) reserve(ctx context.Context, s roomSearch) (directory.View, func(), roomResult) {
+	views, request := c.candidates()
+	if !selection.HasCandidate(views, request) {
+		return directory.View{}, nil, noCandidate
+	}
+	request.Exclude = maps.Clone(c.tried)
+	if s.skipFull {
+		blockFull(views, request, s.headroom)
+	}
+	for range maxReservationsAsked {
+		if s.ended(ctx, c.Clock()) || !selection.HasCandidate(views, request) {
+			break
+		}
+		v, _ := selection.Choose(views, request, rand.Float64)
+		request.Exclude[v.ID] = true
+		if c.reserveAt(ctx, v, s.headroom) {
+			c.tried[v.ID] = true
+			return v, c.begin(v, views, request), roomGranted
+		}
+	}
+	return directory.View{}, nil, roomRefused
+}
+
+// blockFull blocks the upstreams whose report shows no room for the request and the
+// headroom.
+func blockFull(views []directory.View, r selection.Request, headroom float64) {
+	for i := range views {
+		v := &views[i]
+		needed := r
+		needed.Tokens += int(headroom * float64(max(v.MemoryTotal, r.MemoryTokens)))
+		if !selection.HasRoom(v, needed) {
+			v.Blocked = true
+		}
+	}
+}
+
+// reserveAt reports whether the upstream grants a reservation and may get the request.
+func (c *call) reserveAt(ctx context.Context, v directory.View, headroom float64) bool {
+	s := &c.reservation
+	if s.id == "" {
+		s.id = c.id
+	}
+	if s.id == "" {
+		s.id = strconv.FormatUint(rand.Uint64(), 36)
+	}
+	s.last = c.Reservations.Reserve(ctx, v, reservation.Request{
+		ID: s.id, Priority: c.dispatch.Rank(c.Clock()), PromptTokens: c.sizes.Prompt, OutputTokens: c.sizes.Output, Headroom: headroom,
+	})
+	s.asked++
+	c.Metrics.reservation(s.String())
+	if !s.last.Granted {
+		return false
+	}
+	s.granted = true
+	if ctx.Err() == nil && c.acquire(ctx, v, func() bool { return false }) {
+		return true
+	}
+	c.releaseReservation(v)
+	return false
+}
+
+// releaseReservation releases the reservation at the upstream, if there is one. The
+// reporter may hold one that was not confirmed.
+func (c *call) releaseReservation(v directory.View) {
+	if !c.reservation.granted {
+		return
+	}
+	c.reservation.granted = false
+	c.Reservations.ReleaseReservation(v, c.reservation.id)
+}
+
+// endReservation ends the reservation of a request that was sent to the upstream. The
+// reporter ends that of a request that runs when it sees the work.
+func (c *call) endReservation(v directory.View, o outcome) {
+	switch o {
+	case unsent, withdrawn, misaddressed, declined:
+		c.releaseReservation(v)
+	case answered, lost:
+		c.reservation.granted = false
+	}
+}
--- a/internal/request/forwarding/stopping.go
+++ b/internal/request/forwarding/stopping.go
@@ -29,19 +29,19 @@
 )
 
 // refuseUnfinishable refuses a request that could still be running when the
-// process exits. Another router can complete it.
-func (c *call) refuseUnfinishable() *refusal {
+// process exits if it is sent now. Another router can complete it.
+func (c *call) refuseUnfinishable(now time.Time) *refusal {
 	stop, stopping := c.Stopping()
 	if !stopping {
 		return nil
 	}
-	latestEnd := c.latestEnd(stop)
+	latestEnd := c.latestEnd(stop, now)
 	if latestEnd.Before(stop.End.Add(-stopMargin)) {
 		return nil
 	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter + c.TimeUntilAvailable(c.received),
-		err: errors.Newf("may take %s, but the process exits in %s", latestEnd.Sub(c.received), stop.End.Sub(c.received)),
+		status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter + c.TimeUntilAvailable(now),
+		err: errors.Newf("may take %s, but the process exits in %s", latestEnd.Sub(now), stop.End.Sub(now)),
 	}
 }
 
@@ -49,11 +49,11 @@
 // its deadline is certain, because nothing bounds how long an engine takes. While
 // new callers arrive, a stream is expected to end as on a crowded engine instead:
 // a refused caller may come to a router that has just begun to stop as well.
-func (c *call) latestEnd(s Stop) time.Time {
-	if c.route.Kind != route.Streaming || c.sizes.MaxOutput <= 0 || c.received.Sub(s.Begin) >= newCallersPeriod {
+func (c *call) latestEnd(s Stop, now time.Time) time.Time {
+	if c.route.Kind != route.Streaming || c.sizes.MaxOutput <= 0 || now.Sub(s.Begin) >= newCallersPeriod {
 		return c.deadline
 	}
-	expected := c.received.Add(firstTokenTime + time.Duration(c.sizes.MaxOutput)*tokenTime)
+	expected := now.Add(firstTokenTime + time.Duration(c.sizes.MaxOutput)*tokenTime)
 	if expected.Before(c.deadline) {
 		return expected
 	}
--- a/internal/request/headers/headers.go
+++ b/internal/request/headers/headers.go
@@ -46,6 +46,9 @@
 	RateLimit string
 	// Leaving marks an answer of an upstream that is about to stop.
 	Leaving string
+	// Priority holds the rank of a request among those that wait at an engine, 0 for
+	// the most urgent.
+	Priority string
 	// Reserved are the names of further fields that a caller must not set.
 	Reserved []string
 }
@@ -94,6 +97,7 @@
 	kept.Del(n.Seal)
 	kept.Del(n.KVSource)
 	kept.Del(n.KVBackup)
+	kept.Del(n.Priority)
 	for _, name := range n.Reserved {
 		kept.Del(name)
 	}
@@ -125,6 +129,9 @@
 	h.Set(n.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 }
 
+// SetPriority sets the rank of the request at an engine, from 0 for the most urgent.
+func (n *Names) SetPriority(h http.Header, rank int) { h.Set(n.Priority, strconv.Itoa(rank)) }
+
 // StatedLimit returns the number of requests a second that the upstream states to
 // accept, and false if the answer states none. The value must be a non-negative
 // decimal number.
