--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/process/router/dispatch"
+	"github.com/flamingohold/flamingohold/internal/process/router/waitqueue"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 )
 
@@ -36,6 +38,15 @@
 		flag, variable := strings.ReplaceAll(f.Name, "_", "-"), strings.ToUpper(f.Name)
 		fmt.Fprintf(&b, "| `%s` | `--%s` | `FLAMINGOHOLD_%s` | %s |\n", f.Name, flag, variable, f.Help)
 	}
+	b.WriteString("\n## Bounds of routers\n\nThese are compiled in; `forwarding.Options` overrides them.\n\n")
+	b.WriteString("| bound | default | meaning |\n| --- | --- | --- |\n")
+	for _, r := range [][]any{
+		{"length of the queue", waitqueue.DefaultRequests, "requests of one process that wait until an engine has room"},
+		{"bodies in the queue", waitqueue.DefaultBytes, "size of their bodies together, in bytes"},
+		{"headroom", dispatch.DefaultHeadroom, "share of an engine's memory that stays free beside a request that can wait"},
+	} {
+		fmt.Fprintf(&b, "| %v | %v | %v |\n", r...)
+	}
 	if os.Getenv("UPDATE_DOCS") != "" {
 		require.NoError(t, os.WriteFile(documentPath, []byte(b.String()), 0o600))
 	}
