--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -157,3 +157,33 @@
 	v, _ = d.Upstream("a", start.Add(4*failureHalfLife))
 	require.Less(t, v.FailureRate, 0.1)
 }
+
+// Guards against requests that wait for room and do not learn that a report shows more,
+// and against ones that look for room whenever a report arrives.
+func TestReportWithLessWorkNotifiesThatRoomIsFreed(t *testing.T) {
+	before := Report{Incarnation: 1, Waiting: 2, Running: 3, MemoryUsed: 500}
+	for name, c := range map[string]struct {
+		next  Report
+		freed bool
+	}{
+		"same":            {before, false},
+		"more":            {Report{Incarnation: 1, Waiting: 3, Running: 4, MemoryUsed: 600}, false},
+		"prompt started":  {Report{Incarnation: 1, Waiting: 1, Running: 4, MemoryUsed: 600}, true},
+		"run ended":       {Report{Incarnation: 1, Waiting: 2, Running: 2, MemoryUsed: 500}, true},
+		"memory is freed": {Report{Incarnation: 1, Waiting: 2, Running: 3, MemoryUsed: 499}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory()
+			d.Upsert(entry("a", "10.0.0.1:1", 1), start)
+			d.ObserveReport("a", before, start)
+			freed := d.RoomFreed()
+			d.ObserveReport("a", c.next, start)
+			select {
+			case <-freed:
+				require.True(t, c.freed)
+			default:
+				require.False(t, c.freed)
+			}
+		})
+	}
+}
