--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -198,12 +198,12 @@
 		"Add capacity to the service if its upstreams ask for pauses often.",
 	}
 	RequestWaits = Event{
-		6060, "request_waits", zerolog.InfoLevel,
+		6070, "request_waits", zerolog.InfoLevel,
 		"A request that can wait found no engine with room, or more urgent requests wait; it is sent at the latest when its line says.",
 		"Add engines to the service if requests wait often.",
 	}
 	RequestWaitEnded = Event{
-		6061, "request_wait_ended", zerolog.InfoLevel,
+		6071, "request_wait_ended", zerolog.InfoLevel,
 		"The wait of a request ended for the reason in the line: an engine granted room, it was due, it was refused, or it was cancelled.", "none",
 	}
 	HandlerPanicked = Event{
