--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -282,7 +282,8 @@
 func (r *Router) forwarder(processCtx context.Context) http.Handler {
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
-		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, Limits: r.stated, Pauses: r.pauses, Gate: r.gate, IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
+		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, Limits: r.stated, Pauses: r.pauses, Gate: r.gate, Reservations: r.reporters,
+		IsResponsible: r.peers.IsResponsible, Relocator: r.relocator, Log: r.log,
 		Clock: r.clock, Metrics: forwarding.NewMetrics(r.telemetry.Scope()), Stopping: r.stopping, TimeUntilAvailable: r.peers.TimeUntilAvailable, ProcessContext: processCtx,
 	})
 }
