--- a/internal/process/router/dispatch/dispatch.go
+++ b/internal/process/router/dispatch/dispatch.go
@@ -114,12 +114,14 @@
 	SendBy  time.Time
 	// Target is the time after which the request is late, zero for never.
 	Target time.Time
-	// PromptTime is the time that the prompt is expected to need at an engine.
-	PromptTime time.Duration
-	// DeadlineTooShort is true if the deadline leaves less than PromptTime.
+	// PromptTokens is the expected size of the prompt, and PromptTime the time that it is
+	// expected to need at an engine.
+	PromptTokens int
+	PromptTime   time.Duration
+	// DeadlineTooShort is true if the deadline leaves less than the stated prompt needs.
 	DeadlineTooShort bool
-	// InvalidPriority is true if the configured priority is out of range, and
-	// InvalidSize if the prompt exceeds an engine's memory. Both are clamped.
+	// InvalidPriority is true if the configured priority is out of range, InvalidSize if
+	// the size of the prompt is missing or exceeds an engine's memory. Both are replaced.
 	InvalidPriority, InvalidSize bool
 }
 
@@ -135,12 +137,10 @@
 		configured = *r.AccountPriority
 	}
 	d.Priority, d.InvalidPriority = clamp(configured)
-	tokens := r.PromptTokens
-	if memory := r.Service.Engine.MemoryTokens; memory > 0 && tokens > memory {
-		tokens, d.InvalidSize = memory, true
-	}
-	d.PromptTime = time.Duration(tokens) * time.Millisecond / promptTokensPerMillisecond
-	d.DeadlineTooShort = r.Deadline.Sub(r.Received) < d.PromptTime
+	d.PromptTokens, d.InvalidSize = plausibleSize(r.PromptTokens, r.Service.Engine.MemoryTokens)
+	d.PromptTime = time.Duration(d.PromptTokens) * time.Millisecond / promptTokensPerMillisecond
+	// A request is not refused for a size that is only assumed.
+	d.DeadlineTooShort = r.PromptTokens > 0 && r.Deadline.Sub(r.Received) < d.PromptTime
 	if r.Route.LatencyTarget <= 0 {
 		return d
 	}
@@ -150,6 +150,20 @@
 	return d
 }
 
+// plausibleSize returns the size of a prompt for an engine with the memory, both in
+// tokens, and whether the stated size is missing or exceeds the memory. A missing size
+// is assumed to be that of a prompt for which DefaultHeadroom is enough.
+func plausibleSize(stated, memory int) (tokens int, invalid bool) {
+	switch {
+	case stated <= 0:
+		return int(DefaultHeadroom * float64(memory)), true
+	case memory > 0 && stated > memory:
+		return memory, true
+	default:
+		return stated, false
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/process/router/dispatch/dispatch_test.go
+++ b/internal/process/router/dispatch/dispatch_test.go
@@ -93,13 +93,18 @@
 	}
 }
 
-// Guards against a wait that leaves no time for the prompt, and against requests that are
-// refused for a size that no engine can hold.
+// Guards against a wait that leaves no time for the prompt, against requests that are
+// refused for a size that no engine can hold, and against ones without a size that
+// reserve nothing.
 func TestWaitEndsBeforeThePromptMustStart(t *testing.T) {
 	routes := table(stream(2, 4*time.Second), stream(0, 1500*time.Millisecond))
-	for tokens, sendBy := range map[int]time.Duration{0: 3700 * time.Millisecond, 2100: 3400 * time.Millisecond, 21_000: 700 * time.Millisecond} {
+	for tokens, sendBy := range map[int]time.Duration{7: 3699 * time.Millisecond, 2100: 3400 * time.Millisecond, 21_000: 700 * time.Millisecond} {
 		require.Equal(t, start.Add(sendBy), decide(routes, 0, nil, tokens).SendBy)
 	}
+	unknown := decide(routes, 0, nil, 0)
+	require.True(t, unknown.InvalidSize)
+	require.Equal(t, 3223, unknown.PromptTokens, "a reservation without a size would always be granted")
+	require.Equal(t, decide(routes, 0, nil, 3223).SendBy, unknown.SendBy)
 	huge := decide(routes, 0, nil, 1<<40)
 	require.True(t, huge.InvalidSize)
 	require.False(t, huge.DeadlineTooShort)
@@ -117,6 +122,8 @@
 		require.Equal(t, tooShort, d.DeadlineTooShort, left)
 		require.False(t, d.SendBy.After(start.Add(left)))
 	}
+	unknown := New(routes).Decide(Request{Route: &routes.Routes()[0], Service: routes.Service("lm"), Received: start, Deadline: start})
+	require.False(t, unknown.DeadlineTooShort, "the size is only assumed")
 }
 
 // Guards against a late request that preempts requests which are still in time.
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -139,7 +139,7 @@
 	}
 	request.Exclude = maps.Clone(c.tried)
 	if s.skipFull {
-		blockFull(views, request, s.headroom)
+		c.blockFull(views, request, s.headroom)
 	}
 	for range maxReservationsAsked {
 		if s.ended(ctx, c.Clock()) || !selection.HasCandidate(views, request) {
@@ -157,11 +157,11 @@
 
 // blockFull blocks the upstreams whose report shows no room for the request and the
 // headroom.
-func blockFull(views []directory.View, r selection.Request, headroom float64) {
+func (c *call) blockFull(views []directory.View, r selection.Request, headroom float64) {
 	for i := range views {
 		v := &views[i]
 		needed := r
-		needed.Tokens += int(headroom * float64(max(v.MemoryTotal, r.MemoryTokens)))
+		needed.Tokens = c.dispatch.PromptTokens + int(headroom*float64(max(v.MemoryTotal, r.MemoryTokens)))
 		if !selection.HasRoom(v, needed) {
 			v.Blocked = true
 		}
@@ -178,7 +178,7 @@
 		s.id = strconv.FormatUint(rand.Uint64(), 36)
 	}
 	s.last = c.Reservations.Reserve(ctx, v, reservation.Request{
-		ID: s.id, Priority: c.dispatch.Rank(c.Clock()), PromptTokens: c.sizes.Prompt, OutputTokens: c.sizes.Output, Headroom: headroom,
+		ID: s.id, Priority: c.dispatch.Rank(c.Clock()), PromptTokens: c.dispatch.PromptTokens, OutputTokens: c.sizes.Output, Headroom: headroom,
 	})
 	s.asked++
 	c.Metrics.reservation(s.String())
