--- a/internal/process/eventlog/router.go
+++ b/internal/process/eventlog/router.go
@@ -202,6 +202,15 @@
 		"A reporter granted or refused room at its upstream; the line contains the inputs of the decision and their age. Further refusals of the same request are counted in the line of its grant.",
 		"Add capacity to the service if reporters refuse often.",
 	}
+	RequestWaits = Event{
+		6070, "request_waits", zerolog.InfoLevel,
+		"A request that can wait found no engine with room, or more urgent requests wait; it is sent at the latest when its line says.",
+		"Add engines to the service if requests wait often.",
+	}
+	RequestWaitEnded = Event{
+		6071, "request_wait_ended", zerolog.InfoLevel,
+		"The wait of a request ended for the reason in the line: an engine granted room, it was due, it was refused, or it was cancelled.", "none",
+	}
 	HandlerPanicked = Event{
 		6025, "handler_panicked", zerolog.ErrorLevel,
 		"The handler of a request panicked; the caller received an error or its connection was closed.", "Report the stack trace.",
@@ -225,5 +234,6 @@
 		PromptPartBlocked, PromptPartCleared, PromptDecided, StreamEndDecided,
 		UpstreamLimitChanged, UpstreamLimitInvalid, PermitsLost, PermitsRegained, PermitRefused, StoreReadCompletely, StoreRestored, ItemOutdated,
 		UpstreamStatedLeaving, UpstreamStatementInvalid, UpstreamAskedPause, ReservationDecided,
+		RequestWaits, RequestWaitEnded,
 	}
 }
--- a/internal/request/forwarding/metrics.go
+++ b/internal/request/forwarding/metrics.go
@@ -55,3 +55,20 @@
 	tags := map[string]string{"predicted": string(p), "moved": strconv.FormatBool(moved)}
 	m.scope.Tagged(tags).Histogram("longest_gap", gapBuckets).RecordDuration(gap)
 }
+
+func (m *Metrics) invalidInput(field string) {
+	m.scope.Tagged(map[string]string{"field": field}).Counter("invalid_input").Inc(1)
+}
+
+func (m *Metrics) reservation(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("reservations").Inc(1)
+}
+
+func (m *Metrics) queueLength(priority, requests int) {
+	m.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge("queue_length").Update(float64(requests))
+}
+
+func (m *Metrics) waitEnded(priority int, reason waitEnd, waited time.Duration) {
+	tags := map[string]string{"priority": strconv.Itoa(priority), "reason": string(reason)}
+	m.scope.Tagged(tags).Histogram("queue_wait", latencyBuckets).RecordDuration(waited)
+}
