Count growth for the time of a request, and rank requests by account only

The growth of running generations over 2 s counted against short generations too, which end before the others have grown much, and a prompt whose rise was hidden by the end of a run counted twice for a second. The growth now counts for the expected time of the request, and a reservation ends when the report lists its run.

--- a/internal/process/reservation/reservations.go
+++ b/internal/process/reservation/reservations.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
@@ -33,8 +34,12 @@
 	minAge = 100 * time.Millisecond
 	// reportLifetime is how long a report is valid, as for the routers' directory.
 	reportLifetime = 1500 * time.Millisecond
-	// growthPeriod is the time for which running generations are expected to grow.
+	// growthPeriod is the longest time for which running generations are expected to
+	// grow. A request that ends earlier leaves its memory to them.
 	growthPeriod = 2 * time.Second
+	// prefillPeriod is the time that an engine is expected to need for a prompt beside
+	// running generations.
+	prefillPeriod = 400 * time.Millisecond
 	// defaultGrowth is the tokens per second by which a run grows before reports show
 	// it: 4 tokens per event and 30 ms between events.
 	defaultGrowth = 133
@@ -112,7 +117,7 @@
 // gains by a smaller headroom.
 func (s *Reservations) refusal(r Request, now time.Time) Decision {
 	limit := (1 - r.Headroom) * float64(s.report.MemoryTotal)
-	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.expectedGrowth()) - limit
+	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.expectedGrowth(s.runTime(r))) - limit
 	requests := s.report.Waiting + s.report.Running + len(s.open)
 	switch {
 	case s.report.Leaving:
@@ -182,7 +187,8 @@
 	kept := s.open[:0]
 	for _, o := range s.open {
 		arrivals, rise := max(o.arrivals, s.usedArrivals)+1, max(o.rise, s.usedRise)+o.prompt
-		if now.Sub(o.grantedAt) < minAge || arrivals > s.arrivals || rise > s.rise {
+		isShown := now.Sub(o.grantedAt) >= minAge && arrivals <= s.arrivals && rise <= s.rise
+		if !isShown && !s.isRunning(o.id) {
 			kept = append(kept, o)
 			continue
 		}
@@ -193,6 +199,13 @@
 	s.open = kept
 }
 
+// isRunning reports whether the report lists a run of the request. A run is listed from
+// its first event on, and its prompt is part of the memory in use then, also where a
+// rise by the whole prompt was not seen.
+func (s *Reservations) isRunning(id string) bool {
+	return slices.ContainsFunc(s.report.Runs, func(r directory.Run) bool { return r.ID == id })
+}
+
 // expire ends the reservations whose lifetime has ended.
 func (s *Reservations) expire(now time.Time) {
 	count := 0
@@ -218,10 +231,20 @@
 	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < reportLifetime && s.report.MemoryTotal > 0
 }
 
+// runTime returns the time for which the request is expected to hold its memory, at
+// most growthPeriod. Unknown outputs count as long.
+func (s *Reservations) runTime(r Request) time.Duration {
+	if r.OutputTokens == 0 || s.growth <= 0 {
+		return growthPeriod
+	}
+	output := float64(r.OutputTokens) / float64(s.growth) * float64(time.Second)
+	return time.Duration(min(float64(growthPeriod), float64(prefillPeriod)+output))
+}
+
 // expectedGrowth returns the tokens by which the running generations are expected to
-// grow in growthPeriod.
-func (s *Reservations) expectedGrowth() int {
-	return int(float64(s.growth) * growthPeriod.Seconds() * float64(s.report.Running))
+// grow in the period.
+func (s *Reservations) expectedGrowth(period time.Duration) int {
+	return int(float64(s.growth) * period.Seconds() * float64(s.report.Running))
 }
 
 // State is what a decision depends on, for logs and metrics.
@@ -243,7 +266,7 @@
 func (s *Reservations) State(now time.Time) State {
 	s.expire(now)
 	state := State{
-		Report: s.report, Open: len(s.open), Reserved: s.reserved, Growth: s.expectedGrowth(), Shown: s.shown, Expired: s.expired,
+		Report: s.report, Open: len(s.open), Reserved: s.reserved, Growth: s.expectedGrowth(growthPeriod), Shown: s.shown, Expired: s.expired,
 	}
 	if !s.reportedAt.IsZero() {
 		state.ReportAge = now.Sub(s.reportedAt)
--- a/internal/process/reservation/reservations_test.go
+++ b/internal/process/reservation/reservations_test.go
@@ -128,6 +128,32 @@
 	})
 }
 
+// Guards against short generations that are refused for the growth of others in a time in
+// which they have ended, and against long ones that are granted without it.
+func TestGrowthCountsForTheTimeOfTheRequest(t *testing.T) {
+	s := New()
+	s.Observe(engineReport(8, 22700), at(0))
+	short, long := request("short", 2200, 0), request("long", 2200, 0)
+	short.OutputTokens, long.OutputTokens = 8, 750
+	require.Equal(t, ReasonMemory, s.Reserve(long, at(0)).Reason)
+	require.Equal(t, ReasonMemory, s.Reserve(request("unknown", 2200, 0), at(0)).Reason)
+	require.True(t, s.Reserve(short, at(0)).Granted)
+}
+
+// Guards against a prompt that counts twice for a second, because the engine had a part of
+// it in its memory before.
+func TestReservationEndsWithTheFirstEventOfItsRun(t *testing.T) {
+	s := New()
+	s.Observe(engineReport(2, 6000), at(0))
+	require.True(t, s.Reserve(request("a", 3000, 0), at(10)).Granted)
+	shown := engineReport(3, 7000)
+	s.Observe(shown, at(200))
+	require.Equal(t, 1, s.State(at(200)).Open)
+	shown.Runs = []directory.Run{{ID: "b"}, {ID: "a", Events: 1}}
+	s.Observe(shown, at(215))
+	require.Zero(t, s.State(at(215)).Open)
+}
+
 // Guards against room that stays reserved after its work has appeared, was released or
 // never arrives, and against a report of earlier work that ends a reservation.
 func TestReservationsEnd(t *testing.T) {
--- a/internal/process/router/dispatch/dispatch_test.go
+++ b/internal/process/router/dispatch/dispatch_test.go
@@ -140,6 +140,17 @@
 	})
 }
 
+// Guards against ranks by route: engines would preempt the running generations of one
+// route for each prompt of another.
+func TestRoutesOfOneAccountHaveTheSameRank(t *testing.T) {
+	routes := table(stream(2, 4*time.Second), stream(0, 1500*time.Millisecond))
+	for _, account := range []*int{nil, new(3)} {
+		long, short := decide(routes, 0, account, 3000), decide(routes, 1, account, 3000)
+		require.Equal(t, long.Rank(start), short.Rank(start))
+	}
+	require.Equal(t, defaultRank, decide(routes, 0, nil, 3000).Rank(start))
+}
+
 func BenchmarkDecide(b *testing.B) {
 	routes := table(stream(2, 4*time.Second), stream(0, 1500*time.Millisecond))
 	policy := New(routes)
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -178,7 +178,7 @@
 		s.id = strconv.FormatUint(rand.Uint64(), 36)
 	}
 	s.last = c.Reservations.Reserve(ctx, v, reservation.Request{
-		ID: s.id, Priority: c.dispatch.Rank(c.Clock()), PromptTokens: c.dispatch.PromptTokens, OutputTokens: c.sizes.Output, Headroom: headroom,
+		ID: s.id, Priority: c.dispatch.Priority, PromptTokens: c.dispatch.PromptTokens, OutputTokens: c.sizes.Output, Headroom: headroom,
 	})
 	s.asked++
 	c.Metrics.reservation(s.String())
