--- a/internal/process/directory/list.go
+++ b/internal/process/directory/list.go
@@ -30,8 +30,7 @@
 // was written before the one known, and arrives after it, is ignored.
 func (d *Directory) Upsert(e Entry, now time.Time) {
 	if d.isLate(e) {
-		d.log.Emit(eventlog.ItemOutdated).Str("upstream", e.ID).Int64("incarnation", e.Incarnation).Int64("sequence", e.Sequence).
-			Bool("ignored", true).Bool("distrusted", false).Send()
+		d.logOutdated(e, true, false)
 		return
 	}
 	d.upsert(e, time.Time{}, now)
@@ -58,8 +57,7 @@
 	distrusted := outdated && (u.entry.Leaving || u.isRemoved(now))
 	d.mu.Unlock()
 	if outdated {
-		d.log.Emit(eventlog.ItemOutdated).Str("upstream", e.ID).Int64("incarnation", e.Incarnation).Int64("sequence", e.Sequence).
-			Bool("ignored", ignored).Bool("distrusted", distrusted).Send()
+		d.logOutdated(e, ignored, distrusted)
 	}
 	switch {
 	case ignored:
@@ -70,6 +68,11 @@
 	}
 }
 
+func (d *Directory) logOutdated(e Entry, ignored, distrusted bool) {
+	d.log.Emit(eventlog.ItemOutdated).Str("upstream", e.ID).Int64("incarnation", e.Incarnation).Int64("sequence", e.Sequence).
+		Bool("ignored", ignored).Bool("distrusted", distrusted).Send()
+}
+
 func (d *Directory) upsert(e Entry, distrustedUntil, now time.Time) {
 	d.mu.Lock()
 	u := d.upstreams[e.ID]
