Confirm the end of bodies without a length in one package

The delay of 50 ms and the check after it stood in forwarding and in serviceclient. Package bodyend holds both; Reachable of serviceclient uses the same dial. No change of behaviour. Tests of internal/connection/... and internal/request/forwarding pass.

--- a/internal/connection/serviceclient/serviceclient.go
+++ b/internal/connection/serviceclient/serviceclient.go
@@ -13,16 +13,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/flamingohold/flamingohold/internal/process/pause"
+	"github.com/flamingohold/flamingohold/internal/connection/bodyend"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
 )
 
 const (
-	// closeConfirmDelay is the time after the end of a connection in which a service
-	// that has ended stops accepting connections.
-	closeConfirmDelay = 50 * time.Millisecond
-	dialTimeout       = 2 * time.Second
+	dialTimeout = 2 * time.Second
 	// CallTimeout bounds a call. A service that takes longer counts as failed,
 	// and the outcome of the call as unknown.
 	CallTimeout = 120 * time.Second
@@ -93,11 +90,8 @@
 		return Answer{}, errors.Wrapf(err, "call service %s", c.address)
 	}
 	answer, err := c.read(response)
-	if err == nil && isCloseDelimited(response) {
-		pause.For(ctx, closeConfirmDelay)
-		if !c.Reachable(ctx) {
-			return Answer{}, errors.Newf("service %s ended with an answer that has no length", c.address)
-		}
+	if err == nil && isCloseDelimited(response) && bodyend.Confirm(ctx, c.reach) != nil {
+		return Answer{}, errors.Newf("service %s ended with an answer that has no length", c.address)
 	}
 	return answer, err
 }
@@ -139,12 +133,15 @@
 }
 
 // Reachable reports whether the service accepts connections.
-func (c *Client) Reachable(ctx context.Context) bool {
+func (c *Client) Reachable(ctx context.Context) bool { return c.reach(ctx) == nil }
+
+// reach returns an error if the service accepts no connection.
+func (c *Client) reach(ctx context.Context) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	connection, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		return false
+		return errors.Wrapf(err, "dial service %s", c.address)
 	}
 	_ = connection.Close()
-	return true
+	return nil
 }
--- a/internal/request/forwarding/streamend.go
+++ b/internal/request/forwarding/streamend.go
@@ -4,14 +4,13 @@
 	"context"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/bodyend"
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/request/eventstream"
 )
 
@@ -60,16 +59,11 @@
 	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
 }
 
-// closeConfirmDelay is the time after the end of a connection in which the other
-// connections to an upstream that has ended are closed as well.
-const closeConfirmDelay = 50 * time.Millisecond
-
 // confirmClosed reports whether an answer that only the end of its connection
 // delimits is complete: the upstream that ended it still accepts connections. The
 // answer has had the given number of events.
 func (c *call) confirmClosed(ctx context.Context, v directory.View, events int) bool {
-	pause.For(ctx, closeConfirmDelay)
-	err := c.Pool.Reach(ctx, v.Address)
+	err := bodyend.Confirm(ctx, func(ctx context.Context) error { return c.Pool.Reach(ctx, v.Address) })
 	c.Log.Emit(eventlog.StreamEndDecided).Str("request_id", c.id).Str("upstream", v.ID).Int("events", events).
 		Bool("complete", err == nil).Err(err).Send()
 	return err == nil
