--- a/internal/connection/upstreamclient/answer.go
+++ b/internal/connection/upstreamclient/answer.go
@@ -28,10 +28,10 @@
 	// sent receives the result of writing the request.
 	sent <-chan error
 	ctx  context.Context //nolint:containedctx // it is the context of this exchange only
-	// buffered is the part of the body that counts in the pool's buffered bytes.
-	buffered int64
-	// reserved is the number of bytes that Reserve counted.
-	reserved int64
+	// buffered is the part of the body that Body has read.
+	buffered share
+	// reserved is what Reserve counted.
+	reserved share
 	// complete is true once the body was read to its proper end.
 	complete bool
 }
@@ -69,17 +69,15 @@
 	return &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errors.Newf("body exceeds %d bytes", limit)}
 }
 
-// bufferedReader counts what it reads in the pool's buffered bytes until the
-// answer is closed.
+// bufferedReader counts what it reads until the answer is closed.
 type bufferedReader struct{ answer *Answer }
 
 // Read implements io.Reader.
 func (r *bufferedReader) Read(buffer []byte) (int, error) {
 	a := r.answer
 	n, err := a.Read(buffer)
-	a.buffered += int64(n)
-	if a.connection.pool.buffered.Add(int64(n)) > maxBufferedBytes {
-		return n, &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errTooManyBuffered}
+	if exceeded := a.count(&a.buffered, int64(n)); exceeded != nil {
+		return n, exceeded
 	}
 	return n, err
 }
@@ -87,28 +85,21 @@
 // Reserve counts bytes of a stream that its reader keeps, until the answer is closed.
 // It returns an error if the readers of all streams keep too many together.
 func (a *Answer) Reserve(bytes int64) error {
-	a.reserved += bytes
-	if a.connection.pool.reserved.Add(bytes) > maxReservedBytes {
-		return &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: errTooManyReserved}
+	return a.count(&a.reserved, bytes)
+}
+
+func (a *Answer) count(s *share, bytes int64) error {
+	if err := s.add(bytes); err != nil {
+		return &Failure{Step: "receive", Address: a.connection.address, Sent: true, Err: err}
 	}
 	return nil
 }
 
-// errTooManyReserved is the error of a stream that exceeds what the readers of all
-// streams together may keep.
-var errTooManyReserved = errors.Newf("events in progress exceed %d bytes", maxReservedBytes)
-
-// errTooManyBuffered is the error of an answer that exceeds what all answers
-// together may buffer.
-var errTooManyBuffered = errors.Newf("answers in progress exceed %d bytes", maxBufferedBytes)
-
 // Close ends the exchange. The connection is kept for reuse if the request was
 // sent completely, the body was read to its end and no bytes follow it.
 func (a *Answer) Close() {
-	a.connection.pool.buffered.Add(-a.buffered)
-	a.buffered = 0
-	a.connection.pool.reserved.Add(-a.reserved)
-	a.reserved = 0
+	a.buffered.release()
+	a.reserved.release()
 	stopped := a.stop()
 	if !stopped || !a.complete || a.mustClose || len(a.connection.carried) >= maxCarried || !a.requestSent() || a.connection.reader.Buffered() > 0 {
 		a.connection.close()
--- a/internal/connection/upstreamclient/connection.go
+++ b/internal/connection/upstreamclient/connection.go
@@ -137,6 +137,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, chunked: len(response.TransferEncoding) > 0,
 		body: response.Body, connection: c, mustClose: response.Close, stop: stop, sent: sent, ctx: ctx,
+		buffered: share{bound: c.pool.buffered}, reserved: share{bound: c.pool.reserved},
 	}, nil
 }
 
--- a/internal/connection/upstreamclient/pool.go
+++ b/internal/connection/upstreamclient/pool.go
@@ -5,7 +5,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -52,10 +51,10 @@
 	options Options
 	dialer  *net.Dialer
 	clock   func() time.Time
-	// buffered is the size of the bodies that are being read completely.
-	buffered atomic.Int64
-	// reserved is the size of the incomplete events that readers of streams keep.
-	reserved atomic.Int64
+	// buffered bounds the bodies that are being read completely.
+	buffered *memoryBound
+	// reserved bounds the incomplete events that readers of streams keep.
+	reserved *memoryBound
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -68,7 +67,10 @@
 		Control:         setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
-	return &Pool{options: options, dialer: dialer, clock: clock, idle: make(map[string][]*connection)}
+	return &Pool{
+		options: options, dialer: dialer, clock: clock, idle: make(map[string][]*connection),
+		buffered: newMemoryBound(maxBufferedBytes, "answers"), reserved: newMemoryBound(maxReservedBytes, "events"),
+	}
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
