--- a/internal/process/configwatch/watcher_test.go
+++ b/internal/process/configwatch/watcher_test.go
@@ -107,6 +107,23 @@
 	return p
 }
 
+// startWithService runs a process with a configuration service that has the bundle,
+// and waits until that is in force.
+func startWithService(t *testing.T, b *bundle.Bundle) (*fakeService, *process) {
+	service := newFakeService(t)
+	service.publish(t, b)
+	p := start(t, configwatch.Options{ServiceAddress: service.address()})
+	p.waitFor(t, b)
+	return service, p
+}
+
+// waitForEvent waits until the process has logged the event.
+func (p *process) waitForEvent(t *testing.T, number int) {
+	require.Eventually(t, func() bool {
+		return strings.Contains(p.log.String(), fmt.Sprintf(`"event":%d`, number))
+	}, waitTimeout, time.Millisecond)
+}
+
 // requireOrder requires that each adopted version is newer than the previous
 // one.
 func (p *process) requireOrder(t *testing.T) {
@@ -146,18 +163,15 @@
 // older version than before, fails, and returns an even older one after it
 // recovers.
 func TestOlderVersionOfServiceIsIgnored(t *testing.T) {
-	service := newFakeService(t)
 	newer := newBundle(t, 7, "a")
-	service.publish(t, newer)
-	gateway := start(t, configwatch.Options{ServiceAddress: service.address()})
-	gateway.waitFor(t, newer)
+	service, gateway := startWithService(t, newer)
 	service.publish(t, newBundle(t, 6, "b"))
-	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4002`) }, waitTimeout, time.Millisecond)
+	gateway.waitForEvent(t, 4002)
 	service.setDown(true)
-	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4003`) }, waitTimeout, time.Millisecond)
+	gateway.waitForEvent(t, 4003)
 	service.publish(t, newBundle(t, 5, "c"))
 	service.setDown(false)
-	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4004`) }, waitTimeout, time.Millisecond)
+	gateway.waitForEvent(t, 4004)
 	gateway.requireUnchanged(t, newer)
 }
 
@@ -178,12 +192,9 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			service := newFakeService(t)
-			service.publish(t, first)
-			gateway := start(t, configwatch.Options{ServiceAddress: service.address()})
-			gateway.waitFor(t, first)
+			service, gateway := startWithService(t, first)
 			service.publish(t, second, fault)
-			require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4001`) }, waitTimeout, time.Millisecond)
+			gateway.waitForEvent(t, 4001)
 			require.Equal(t, first.Manifest.Hash, gateway.Current().Hash)
 			service.publish(t, third)
 			gateway.waitFor(t, third)
@@ -199,7 +210,7 @@
 	key := "flamingohold/chunks/" + b.Manifest.Chunks[1].SHA256
 	service.publish(t, b, func(v map[string][]byte) { delete(v, key) })
 	gateway := start(t, configwatch.Options{ServiceAddress: service.address()})
-	require.Eventually(t, func() bool { return strings.Contains(gateway.log.String(), `"event":4001`) }, waitTimeout, time.Millisecond)
+	gateway.waitForEvent(t, 4001)
 	service.mu.Lock()
 	service.values[key] = b.Chunks[b.Manifest.Chunks[1].SHA256]
 	service.mu.Unlock()
@@ -209,11 +220,8 @@
 // Guards against a restarted process that adopts the version of a stale service
 // although its peers have a later one.
 func TestRestartedProcessQueriesPeersBeforeService(t *testing.T) {
-	service := newFakeService(t)
 	newer := newBundle(t, 9, "a")
-	service.publish(t, newer)
-	peer := start(t, configwatch.Options{ServiceAddress: service.address()})
-	peer.waitFor(t, newer)
+	_, peer := startWithService(t, newer)
 	stale := newFakeService(t)
 	stale.publish(t, newBundle(t, 3, "b"))
 	restarted := start(t, configwatch.Options{ServiceAddress: stale.address(), PeerAddresses: []string{"127.0.0.1:1", peer.address}},
@@ -259,11 +267,8 @@
 // gateway's message, and against an announcement of a version that no peer can
 // serve.
 func TestSidecarAdoptsAnnouncedVersion(t *testing.T) {
-	service := newFakeService(t)
 	b := newBundle(t, 3, "a")
-	service.publish(t, b)
-	gateway := start(t, configwatch.Options{ServiceAddress: service.address()})
-	gateway.waitFor(t, b)
+	_, gateway := startWithService(t, b)
 	sidecar := start(t, configwatch.Options{})
 	sidecar.ObserveVersion(8, "", "127.0.0.1:1")
 	require.Eventually(t, func() bool {
@@ -289,11 +294,8 @@
 // Guards against a sidecar that receives no changes after all gateways in its
 // settings have been replaced.
 func TestSidecarPollsGatewaysThatSentMessages(t *testing.T) {
-	service := newFakeService(t)
 	first, second := newBundle(t, 1, "a"), newBundle(t, 2, "b")
-	service.publish(t, first)
-	gateway := start(t, configwatch.Options{ServiceAddress: service.address()})
-	gateway.waitFor(t, first)
+	service, gateway := startWithService(t, first)
 	sidecar := start(t, configwatch.Options{PeerAddresses: []string{"127.0.0.1:1"}})
 	sidecar.ObserveVersion(1, first.Manifest.Hash, gateway.address)
 	sidecar.waitFor(t, first)
@@ -347,11 +349,8 @@
 // Guards against reads of unchanged chunks, and against a watch that polls:
 // while nothing changes, a process has one blocking call.
 func TestChangeReadsOnlyChangedChunks(t *testing.T) {
-	service := newFakeService(t)
 	first := newBundle(t, 1, "a")
-	service.publish(t, first)
-	gateway := start(t, configwatch.Options{ServiceAddress: service.address()})
-	gateway.waitFor(t, first)
+	service, gateway := startWithService(t, first)
 	reads := func() (all, chunks int) {
 		service.mu.Lock()
 		defer service.mu.Unlock()
--- a/internal/process/gateway/generation_test.go
+++ b/internal/process/gateway/generation_test.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// brokenGeneration returns a script that sends the first n tokens of a generation,
+// after which the link fails.
+func brokenGeneration(n uint64, fail func(*fakeStream)) offerScript {
+	return func(s *fakeStream, _ *attempt.Attempt) {
+		s.send(acceptedFrame("e1.a.1"))
+		s.send(tokenFrames("e1.a.1", 1, n)...)
+		fail(s)
+	}
+}
+
 // remainingTokens returns a script that sends the tokens after the position, up to
 // token n, and the end.
 func remainingTokens(n uint64) resumeScript {
@@ -51,26 +61,14 @@
 		offer  offerScript
 		resume []resumeScript
 	}{
-		"no fault": {completeGeneration("e1.a.1", 9), nil},
-		"connection cut": {func(s *fakeStream, _ *attempt.Attempt) {
-			s.send(acceptedFrame("e1.a.1"))
-			s.send(tokenFrames("e1.a.1", 1, 4)...)
-			s.cut()
-		}, []resumeScript{remainingTokens(9)}},
+		"no fault":       {completeGeneration("e1.a.1", 9), nil},
+		"connection cut": {brokenGeneration(4, (*fakeStream).cut), []resumeScript{remainingTokens(9)}},
 		"connection cut before the first token": {func(s *fakeStream, _ *attempt.Attempt) {
 			s.send(acceptedFrame("e1.a.1"))
 			s.cut()
 		}, []resumeScript{remainingTokens(9)}},
-		"connection open without data": {func(s *fakeStream, _ *attempt.Attempt) {
-			s.send(acceptedFrame("e1.a.1"))
-			s.send(tokenFrames("e1.a.1", 1, 4)...)
-			s.hang()
-		}, []resumeScript{remainingTokens(9)}},
-		"resumed connection cut": {func(s *fakeStream, _ *attempt.Attempt) {
-			s.send(acceptedFrame("e1.a.1"))
-			s.send(tokenFrames("e1.a.1", 1, 2)...)
-			s.cut()
-		}, []resumeScript{
+		"connection open without data": {brokenGeneration(4, (*fakeStream).hang), []resumeScript{remainingTokens(9)}},
+		"resumed connection cut": {brokenGeneration(2, (*fakeStream).cut), []resumeScript{
 			func(s *fakeStream, g string, after uint64) { s.send(tokenFrames(g, after+1, after+3)...); s.cut() },
 			func(s *fakeStream, _ string, _ uint64) { s.cut() },
 			func(s *fakeStream, _ string, _ uint64) {
@@ -103,11 +101,7 @@
 			s.send(tokenFrames("e1.a.2", 5, 9)...)
 			s.send(endFrame(9))
 		}, []resumeScript{remainingTokens(9)}},
-		"stream of another generation": {func(s *fakeStream, _ *attempt.Attempt) {
-			s.send(acceptedFrame("e1.a.1"))
-			s.send(tokenFrames("e1.a.1", 1, 4)...)
-			s.cut()
-		}, []resumeScript{func(s *fakeStream, _ string, after uint64) {
+		"stream of another generation": {brokenGeneration(4, (*fakeStream).cut), []resumeScript{func(s *fakeStream, _ string, after uint64) {
 			s.w.Header().Set(attempt.StreamIDHeader, "e1.a.2")
 			s.send(tokenFrames("e1.a.2", after+1, 9)...)
 			s.send(endFrame(9))
--- a/internal/process/router/peers/decode_test.go
+++ b/internal/process/router/peers/decode_test.go
@@ -8,12 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // FuzzExchange handles what a faulty router may send, or what is not from a router.
@@ -30,10 +26,7 @@
 	}
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		upstreams := directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0, false })
-		p := New(Options{
-			Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}), Prompts: promptblock.New(func(promptblock.Change) {}),
-			Limits: noLimits(), Drains: upstreams, Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-		})
+		p := newRouter(Options{Address: "self:1", Drains: upstreams})
 		p.mirror.Apply(item(1), time.Now())
 		p.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, exchangePath, bytes.NewReader(withoutWait(body))))
 		p.Count()
--- a/internal/process/router/peers/peers_test.go
+++ b/internal/process/router/peers/peers_test.go
@@ -12,12 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
-	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // node is the mirror, the peers and the server of one router.
@@ -27,26 +24,30 @@
 	server *http.Server
 }
 
-// startNodes starts routers that know only the first router as a live seed.
-func startNodes(t *testing.T, count int) []*node {
+// listen opens sockets on free ports.
+func listen(t *testing.T, count int) []net.Listener {
 	t.Helper()
-	nodes := make([]*node, count)
 	sockets := make([]net.Listener, count)
-	for i := range nodes {
+	for i := range sockets {
 		socket, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		sockets[i] = socket
 	}
+	return sockets
+}
+
+// startNodes starts routers that know only the first router as a live seed.
+func startNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	nodes := make([]*node, count)
+	sockets := listen(t, count)
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	for i := range nodes {
 		m := mirror.New(func([]mirror.Change, time.Time) {})
 		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
 		seeds := []string{sockets[0].Addr().String(), "127.0.0.1:1"}
-		p := New(Options{
-			Address: sockets[i].Addr().String(), Seeds: seeds, Mirror: m, Pool: pool,
-			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-		})
+		p := newRouter(Options{Address: sockets[i].Addr().String(), Seeds: seeds, Mirror: m, Pool: pool})
 		server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 		nodes[i] = &node{peers: p, mirror: m, server: server}
 		running.Go(func() { _ = server.Serve(sockets[i]) })
@@ -134,10 +135,7 @@
 // Guards against a router that relies on readers which have lost contact with
 // the store.
 func TestRouterQueriesStoreOnceReadersLoseContact(t *testing.T) {
-	p := New(Options{
-		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-	})
+	p := newRouter(Options{Address: "self:1"})
 	require.True(t, p.MustQueryStore(), "a router without peers queries the store")
 	p.mirror.Apply(item(1), time.Now())
 	p.recordStoreContact(mirror.Position{Revision: 1}, time.Now())
@@ -149,10 +147,7 @@
 // Guards against sending callers to another router which is stopping as well.
 func TestTimeUntilAvailableWithStoppingPeers(t *testing.T) {
 	now := time.Now()
-	p := New(Options{
-		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
-	})
+	p := newRouter(Options{Address: "self:1", Clock: func() time.Time { return now }})
 	p.ownStopTime = now.Add(7 * time.Second)
 	p.recordContact("a:1", 0)
 	p.recordContact("b:1", 0)
@@ -168,10 +163,7 @@
 // Guards against counting the store contact of a peer whose items this router
 // lacks.
 func TestStoreContactCountsOnlyWithPeersItems(t *testing.T) {
-	p := New(Options{
-		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-	})
+	p := newRouter(Options{Address: "self:1"})
 	p.recordStoreContact(mirror.Position{Revision: 5}, time.Now())
 	require.True(t, p.storeLost())
 }
@@ -198,10 +190,7 @@
 	now := time.Now()
 	routers := make([]*Peers, 370)
 	for i := range routers {
-		routers[i] = New(Options{
-			Address: fmt.Sprintf("10.0.%d.%d:8748", i/40, 10+i%40), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
-		})
+		routers[i] = newRouter(Options{Address: fmt.Sprintf("10.0.%d.%d:8748", i/40, 10+i%40), Clock: func() time.Time { return now }})
 		routers[i].recordContact("10.0.9.9:8748", 7)
 		routers[i].addNamed(message{Peers: []string{"10.0.0.10:8748"}})
 		now = now.Add(peerTimeout / 370)
@@ -229,11 +218,7 @@
 	now := time.Now()
 	routers := make([]*Peers, 2)
 	for i := range routers {
-		routers[i] = New(Options{
-			Address: fmt.Sprintf("router-%d:1", i), Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope,
-			Clock: func() time.Time { return now },
-		})
+		routers[i] = newRouter(Options{Address: fmt.Sprintf("router-%d:1", i), Clock: func() time.Time { return now }})
 	}
 	routers[0].mirror.RecordContact(now)
 	for round := range 20 {
@@ -250,10 +235,7 @@
 
 // Guards against a router that takes seconds to find the others, since some of its seeds are gone.
 func TestRouterThatKnowsNoOtherAsksItsSeedsOften(t *testing.T) {
-	p := New(Options{
-		Address: "self:1", Seeds: []string{"seed:1", "gone:1"}, Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-	})
+	p := newRouter(Options{Address: "self:1", Seeds: []string{"seed:1", "gone:1"}})
 	p.mirror.RecordContact(time.Now())
 	require.Equal(t, fastGossipInterval, p.interval())
 	p.recordContact("seed:1", 1)
--- a/internal/process/router/peers/readers_test.go
+++ b/internal/process/router/peers/readers_test.go
@@ -6,11 +6,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
-
-	"github.com/flamingohold/flamingohold/internal/process/eventlog"
-	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 // Guards against routers with small links that distribute a large configuration to all.
@@ -22,10 +17,7 @@
 		if i%7 == 3 {
 			link = 200
 		}
-		routers[i] = New(Options{
-			Address: fmt.Sprintf("router-%d:1", i), LinkMbps: link, Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
-		})
+		routers[i] = newRouter(Options{Address: fmt.Sprintf("router-%d:1", i), LinkMbps: link, Clock: func() time.Time { return now }})
 	}
 	gossip(routers, &now, 14)
 	want := routers[0].readers()
@@ -39,10 +31,7 @@
 
 // Guards against a router without a known link, such as one of an earlier build, that is preferred to others.
 func TestRouterWithUnknownLinkIsReaderOnlyAlone(t *testing.T) {
-	p := New(Options{
-		Address: "self:1", LinkMbps: 10, Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-	})
+	p := newRouter(Options{Address: "self:1", LinkMbps: 10})
 	p.recordSender("a:1", message{Address: "a:1"})
 	p.recordSender("b:1", message{Address: "b:1"})
 	p.recordSender("c:1", message{Address: "c:1", LinkMbps: 200})
--- a/internal/process/router/peers/shared_test.go
+++ b/internal/process/router/peers/shared_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
@@ -22,10 +21,7 @@
 // Guards against sending evidence in each message to a router that keeps other crashes of too many.
 func TestSameEvidenceIsNotSentInEachMessage(t *testing.T) {
 	now := time.Now()
-	p := New(Options{
-		Address: "self:1", Mirror: mirror.New(func([]mirror.Change, time.Time) {}),
-		Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
-	})
+	p := newRouter(Options{Address: "self:1", Clock: func() time.Time { return now }})
 	crash := func(n int) {
 		p.prompts.RecordCrash(promptblock.Crash{Upstream: fmt.Sprint(n), Parts: []string{"part"}, At: now})
 	}
@@ -60,13 +56,8 @@
 // Guards against a router that learns an upstream's limit, or its end, only from its own requests.
 func TestLimitsReachTheOtherRouters(t *testing.T) {
 	now := time.Now()
-	newRouter := func(address string) *Peers {
-		return New(Options{
-			Address: address, Mirror: mirror.New(func([]mirror.Change, time.Time) {}), Prompts: promptblock.New(func(promptblock.Change) {}),
-			Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
-		})
-	}
-	a, b := newRouter("a:1"), newRouter("b:1")
+	clock := func() time.Time { return now }
+	a, b := newRouter(Options{Address: "a:1", Clock: clock}), newRouter(Options{Address: "b:1", Clock: clock})
 	u := statedlimit.Upstream{ID: "u", Incarnation: 1}
 	require.Empty(t, sendShared(a, b).Limits)
 	require.Empty(t, sendShared(b, a).Limits)
@@ -86,15 +77,12 @@
 func TestNoticesReachTheOtherRouters(t *testing.T) {
 	now := time.Now()
 	directories := map[string]*directory.Directory{}
-	newRouter := func(address string) *Peers {
+	newListing := func(address string) *Peers {
 		directories[address] = directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0, false })
 		directories[address].Upsert(directory.Entry{ID: "u", Service: "lm", Incarnation: 3}, now)
-		return New(Options{
-			Address: address, Mirror: mirror.New(func([]mirror.Change, time.Time) {}), Prompts: promptblock.New(func(promptblock.Change) {}),
-			Limits: noLimits(), Drains: directories[address], Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: func() time.Time { return now },
-		})
+		return newRouter(Options{Address: address, Drains: directories[address], Clock: func() time.Time { return now }})
 	}
-	a, b := newRouter("a:1"), newRouter("b:1")
+	a, b := newListing("a:1"), newListing("b:1")
 	sendShared(a, b)
 	sendShared(b, a)
 	directories["a:1"].MarkLeaving("u", 3, now)
--- a/internal/process/router/peers/smalllinks_test.go
+++ b/internal/process/router/peers/smalllinks_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,13 +13,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
 	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
-	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
 const (
@@ -202,11 +199,8 @@
 	t.Helper()
 	adopted := newAdoption(count)
 	links := make(map[string]*link)
-	sockets := make([]net.Listener, count)
-	for i := range sockets {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		sockets[i] = socket
+	sockets := listen(t, count)
+	for _, socket := range sockets {
 		links[socket.Addr().String()] = &link{}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -216,10 +210,7 @@
 		address := socket.Addr().String()
 		m := mirror.New(func(changes []mirror.Change, now time.Time) { adopted.record(i, changes, now) })
 		pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
-		p := New(Options{
-			Address: address, Seeds: []string{sockets[0].Addr().String()}, Mirror: m, Pool: pool,
-			Prompts: promptblock.New(func(promptblock.Change) {}), Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-		})
+		p := newRouter(Options{Address: address, Seeds: []string{sockets[0].Addr().String()}, Mirror: m, Pool: pool})
 		f := mirror.NewFollower(m, &storeClient{store: store, link: links[address]}, eventlog.Discard(), time.Now, 0, p.MustQueryStore)
 		servers[i] = &http.Server{Handler: overLinks(p, address, links), ReadHeaderTimeout: time.Second}
 		running.Go(func() { _ = servers[i].Serve(socket) })
--- a/internal/process/router/peers/sources_test.go
+++ b/internal/process/router/peers/sources_test.go
@@ -13,12 +13,18 @@
 	"github.com/flamingohold/flamingohold/internal/process/router/promptblock"
 )
 
-// newPeer returns a router with the address that knows no other.
-func newPeer(address string) *Peers {
-	return New(Options{
-		Address: address, Mirror: mirror.New(func([]mirror.Change, time.Time) {}), Prompts: promptblock.New(func(promptblock.Change) {}),
-		Limits: noLimits(), Log: eventlog.Discard(), Scope: tally.NoopScope, Clock: time.Now,
-	})
+// newRouter returns a router with the options. The mirror does nothing with changes
+// and the clock is time.Now unless the options have others.
+func newRouter(o Options) *Peers {
+	if o.Mirror == nil {
+		o.Mirror = mirror.New(func([]mirror.Change, time.Time) {})
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	o.Prompts, o.Limits = promptblock.New(func(promptblock.Change) {}), noLimits()
+	o.Log, o.Scope = eventlog.Discard(), tally.NoopScope
+	return New(o)
 }
 
 // Guards against routers that all hold their requests at the two readers: with 370 routers
@@ -49,7 +55,7 @@
 // Guards against a router that keeps asking sources that are gone.
 func TestRouterTurnsToAReaderAfterFailures(t *testing.T) {
 	nodes := make([]reader, 0, 40)
-	p := newPeer("10.0.0.200:1")
+	p := newRouter(Options{Address: "10.0.0.200:1"})
 	for i := range 40 {
 		address := fmt.Sprintf("10.0.0.%d:1", i)
 		nodes = append(nodes, reader{address, 100})
@@ -67,7 +73,7 @@
 // Guards against a router far from the readers that takes the store for lost, since each
 // answer of the store reaches it late.
 func TestContactWakesWaitingRouters(t *testing.T) {
-	p := newPeer("10.0.0.1:1")
+	p := newRouter(Options{Address: "10.0.0.1:1"})
 	woken := make(chan time.Duration, 1)
 	for _, contact := range []func(){
 		func() { p.mirror.RecordContact(time.Now()) },
--- a/internal/process/router/relocation/relocation_test.go
+++ b/internal/process/router/relocation/relocation_test.go
@@ -119,6 +119,15 @@
 	h.directory.ObserveReport(id, directory.Report{Leaving: true}, time.Now())
 }
 
+// moveRun starts a run at the source, which then leaves.
+func (h *harness) moveRun(t *testing.T) *Run {
+	t.Helper()
+	r := h.run(t, "r1")
+	r.Event()
+	h.leave("source")
+	return r
+}
+
 func finalRequests(requests []CopyRequest) []CopyRequest {
 	var final []CopyRequest
 	for _, c := range requests {
@@ -136,9 +145,7 @@
 func TestReportedUpstreamIsPreferredAsTarget(t *testing.T) {
 	h := newHarness(t, stubTurns{}, copyAtOnce)
 	h.directory.ObserveReport("far", directory.Report{Running: 3, MemoryUsed: 500, MemoryTotal: 1000}, time.Now())
-	r := h.run(t, "r1")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Equal(t, "far", settledHandoff(t, r).Target.ID)
 }
 
@@ -146,9 +153,7 @@
 func TestTargetWhoseLimitIsUsedUpIsNotChosen(t *testing.T) {
 	h := newHarness(t, stubTurns{}, copyAtOnce)
 	h.permits.limited = map[string]bool{"near": true}
-	r := h.run(t, "r1")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Equal(t, "far", settledHandoff(t, r).Target.ID)
 }
 
@@ -178,9 +183,7 @@
 	for i := range 4 {
 		h := newHarness(t, stubTurns{inUse: map[string]bool{"near": true, "far": true}}, copyAtOnce)
 		h.relocator.random = func() float64 { return float64(i) / 4 }
-		r := h.run(t, "r1")
-		r.Event()
-		h.leave("source")
+		r := h.moveRun(t)
 		chosen[settledHandoff(t, r).Target.ID] = true
 	}
 	require.Equal(t, map[string]bool{"near": true, "far": true}, chosen)
@@ -193,9 +196,7 @@
 	h := newHarness(t, stubTurns{}, copyAtOnce)
 	h.directory.ObserveReport("near", directory.Report{Running: 5, MemoryUsed: 700, MemoryTotal: 1000}, time.Now())
 	h.directory.ObserveReport("far", directory.Report{MemoryTotal: 1000}, time.Now())
-	r := h.run(t, "r1")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Equal(t, "near", settledHandoff(t, r).Target.ID)
 }
 
@@ -206,9 +207,7 @@
 func TestCopyWaitsForFreeLink(t *testing.T) {
 	free := time.Now().Add(150 * time.Millisecond)
 	h := newHarness(t, stubTurns{inUse: map[string]bool{"near": true, "far": true}, inUseUntil: free}, copyAtOnce)
-	r := h.run(t, "r1")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	time.Sleep(100 * time.Millisecond)
 	require.Empty(t, h.client.recordedRequests())
 	settledHandoff(t, r)
@@ -241,9 +240,7 @@
 		}
 		return Copy{Handle: "h", Events: 7}, nil
 	})
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Eventually(t, func() bool { return len(finalRequests(h.client.recordedRequests())) == 1 }, time.Second, time.Millisecond)
 	handoff, ok := r.TakeHandoff(t.Context())
 	require.True(t, ok)
@@ -271,9 +268,7 @@
 	h := newHarness(t, stubTurns{inUse: map[string]bool{"near": true}}, func(int, CopyRequest) (Copy, error) {
 		return Copy{Handle: "h"}, nil
 	})
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	handoff := awaitHandoff(t, r)
 	require.Equal(t, "far", handoff.Target.ID)
 }
@@ -297,9 +292,7 @@
 		}
 		return Copy{Handle: "h"}, nil
 	})
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Equal(t, "far", awaitHandoff(t, r).Target.ID)
 }
 
@@ -312,9 +305,7 @@
 		}
 		return Copy{Handle: "ahead"}, nil
 	})
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Equal(t, "source:1/ahead", awaitHandoff(t, r).CopySource)
 }
 
@@ -327,9 +318,7 @@
 		}
 		return Copy{Handle: "h"}, nil
 	})
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	handoff := awaitHandoff(t, r)
 	require.Equal(t, "source", handoff.Target.ID)
 	require.Equal(t, "source:1/stopped", handoff.CopySource)
@@ -338,9 +327,7 @@
 // Guards against resuming a run that has ended normally.
 func TestEndedRunIsNotHandedOff(t *testing.T) {
 	h := newHarness(t, stubTurns{}, func(int, CopyRequest) (Copy, error) { return Copy{}, ErrNoSuchRun })
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	require.Eventually(t, func() bool { return len(h.client.recordedRequests()) > 0 }, time.Second, time.Millisecond)
 	_, ok := r.TakeHandoff(t.Context())
 	require.False(t, ok)
@@ -355,9 +342,7 @@
 		}
 		return Copy{Handle: "ahead"}, nil
 	})
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	h.moveRun(t)
 	require.Eventually(t, func() bool {
 		h.client.mu.Lock()
 		defer h.client.mu.Unlock()
@@ -368,9 +353,7 @@
 // Guards against a run that is not moved again when its target leaves too.
 func TestRunMovesAgainWhenTargetLeaves(t *testing.T) {
 	h := newHarness(t, stubTurns{}, func(int, CopyRequest) (Copy, error) { return Copy{Handle: "h"}, nil })
-	r := h.run(t, "a")
-	r.Event()
-	h.leave("source")
+	r := h.moveRun(t)
 	first := awaitHandoff(t, r)
 	h.relocator.RecordMove(t.Context(), r, first.Target)
 	h.leave(first.Target.ID)
--- a/internal/process/sidecar/fairqueue/fairqueue_test.go
+++ b/internal/process/sidecar/fairqueue/fairqueue_test.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// pushAll adds work items of the account with the given tokens each.
+func pushAll(t require.TestingT, q *Queue, account string, count, tokens int) {
+	for i := range count {
+		require.True(t, q.Push(item(account, i, tokens), start))
+	}
+}
+
 func dequeue(t require.TestingT, q *Queue) work.Work {
 	w, ok := q.Next()
 	require.True(t, ok)
@@ -89,15 +96,11 @@
 // Guards against an account that accumulates credit while it is idle.
 func TestIdleAccountAccumulatesNoCredit(t *testing.T) {
 	q := New(1000, true)
-	for i := range 100 {
-		require.True(t, q.Push(item("steady", i, 10), start))
-	}
+	pushAll(t, q, "steady", 100, 10)
 	for range 50 {
 		dequeue(t, q)
 	}
-	for i := range 20 {
-		require.True(t, q.Push(item("late", i, 10), start))
-	}
+	pushAll(t, q, "late", 20, 10)
 	lateCount := 0
 	for range 20 {
 		if dequeue(t, q).Account == "late" {
@@ -206,9 +209,7 @@
 func TestSelectDoesNotStarveLargeWork(t *testing.T) {
 	q := New(1000, true)
 	require.True(t, q.Push(item("large", 0, 1), start))
-	for i := range 100 {
-		require.True(t, q.Push(item("small", i, 1), start))
-	}
+	pushAll(t, q, "small", 100, 1)
 	for range 100 {
 		_, ok := q.Select(func(work.Work) bool { return false })
 		require.False(t, ok)
@@ -250,9 +251,7 @@
 // restart, and against work that is lost by the change.
 func TestConfigureAppliesToWaitingWork(t *testing.T) {
 	q := New(3, false)
-	for n := range 3 {
-		require.True(t, q.Push(item("large", n, 100), start))
-	}
+	pushAll(t, q, "large", 3, 100)
 	require.False(t, q.Push(item("small", 0, 100), start))
 	q.Configure(8, true)
 	require.True(t, q.Push(item("small", 0, 100), start))
--- a/internal/process/sidecar/handover_test.go
+++ b/internal/process/sidecar/handover_test.go
@@ -29,7 +29,7 @@
 		w.WriteHeader(http.StatusOK)
 	}))
 	t.Cleanup(server.Close)
-	h := newHarness(t, plainService(1, "a"), newFakeService(t, false).URL)
+	_, h := newPlainHarness(t, 1, false)
 	status, _, err := h.sidecar.callPeer(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/x", make([]byte, size))
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
--- a/internal/process/sidecar/harness_test.go
+++ b/internal/process/sidecar/harness_test.go
@@ -313,6 +313,12 @@
 	_, _ = fmt.Fprintf(w, "booking %d", number)
 }
 
+// newPlainHarness starts a sidecar for a fake service in slot a.
+func newPlainHarness(t *testing.T, concurrency int, held bool) (*fakeService, *harness) {
+	f := newFakeService(t, held)
+	return f, newHarness(t, plainService(concurrency, "a"), f.URL)
+}
+
 func plainService(concurrency int, slots ...string) service.Service {
 	return service.Service{
 		Name: "hire-app", Kind: service.KindPlain, Slots: slots, ConcurrencyLimit: concurrency,
--- a/internal/process/sidecar/ledger/ledger_test.go
+++ b/internal/process/sidecar/ledger/ledger_test.go
@@ -175,6 +175,11 @@
 	})
 }
 
+func newLedger() (*ledger.Ledger, time.Time) {
+	now := time.Unix(1000, 0)
+	return ledger.New("inc", 10, 100, now), now
+}
+
 func offer(l *ledger.Ledger, id, account, key, fingerprint string, now time.Time) ledger.Offer {
 	return ledger.Offer{ID: id, Account: account, Key: key, Fingerprint: fingerprint, Binding: l.Binding(now)}
 }
@@ -182,8 +187,7 @@
 // Guards against refusing an order, or returning its result to another client
 // account, because two accounts chose the same key.
 func TestKeysAreScopedByAccount(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := ledger.New("inc", 10, 100, now)
+	l, now := newLedger()
 	verdict, _ := l.Offer(offer(l, "a1", "bakery", "k", "f", now), now)
 	require.Equal(t, ledger.Accepted, verdict)
 	verdict, _ = l.Offer(offer(l, "a2", "hotel", "k", "g", now), now)
@@ -195,8 +199,7 @@
 // Guards against running an order again when it is retried with its key, and
 // against returning another order's result for it.
 func TestRepeatedKeySharesTheResult(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := ledger.New("inc", 10, 100, now)
+	l, now := newLedger()
 	l.Offer(offer(l, "a1", "bakery", "k", "f", now), now)
 	require.True(t, l.Start("a1"))
 	verdict, executor := l.Offer(offer(l, "a2", "bakery", "k", "f", now), now)
@@ -237,8 +240,7 @@
 // Guards against a second run when a caller reads the clock, is paused until the
 // record has been deleted, and then offers a copy with the outdated time.
 func TestOutdatedClockReadingIsIgnored(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := ledger.New("inc", 10, 100, now)
+	l, now := newLedger()
 	late := offer(l, "a1", "bakery", "", "f", now)
 	l.Offer(late, now)
 	require.True(t, l.Start("a1"))
@@ -252,8 +254,7 @@
 // Guards against reporting an attempt as not run that another incarnation may
 // have run.
 func TestRevokingAnotherIncarnationsAttemptReturnsUnknown(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := ledger.New("inc", 10, 100, now)
+	l, now := newLedger()
 	old := ledger.New("old", 10, 100, now)
 	require.Equal(t, attempt.StateUnknown, l.Revoke(ledger.Revocation{ID: "a1", Binding: old.Binding(now)}, now).State)
 	verdict, _ := l.Offer(offer(old, "a1", "bakery", "", "f", now), now)
@@ -290,8 +291,7 @@
 // Guards against deleting a key's record while a retry that was sent within the
 // key's lifetime is still in transit.
 func TestKeyOutlivesRepetitionsInTransit(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := ledger.New("inc", 10, 100, now)
+	l, now := newLedger()
 	l.Offer(offer(l, "a1", "bakery", "k", "f", now), now)
 	require.True(t, l.Start("a1"))
 	l.Finish("a1", ledger.Result{Status: 201}, now)
@@ -305,8 +305,7 @@
 // Guards against an order that can never be sent again because its first attempt
 // was revoked, and against running a late copy of that attempt.
 func TestRevocationFreesTheKey(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := ledger.New("inc", 10, 100, now)
+	l, now := newLedger()
 	first := offer(l, "a1", "bakery", "k", "f", now)
 	l.Offer(first, now)
 	require.Equal(t, attempt.StateRevoked, l.Revoke(ledger.Revocation{ID: "a1", Binding: l.Binding(now)}, now).State)
--- a/internal/process/sidecar/orders_test.go
+++ b/internal/process/sidecar/orders_test.go
@@ -22,6 +22,28 @@
 	return minted.OrderKey
 }
 
+// queueOrder offers an order that runs and another one that waits behind it, whose
+// requester has the context.
+func (h *harness) queueOrder(ctx context.Context) (running, queued *frames, waiting *attempt.Attempt) {
+	running = h.offer(context.Background(), h.order(""))
+	require.Equal(h.t, frame.KindAccepted, running.next().Kind)
+	waiting = h.order("")
+	queued = h.offer(ctx, waiting)
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	return running, queued, waiting
+}
+
+// requireRevokedAtDisconnect requires that an order is revoked whose requester
+// disconnects while it waits behind another one.
+func (h *harness) requireRevokedAtDisconnect(upstream *fakeService) {
+	ctx, disconnect := context.WithCancel(context.Background())
+	running, _, waiting := h.queueOrder(ctx)
+	disconnect()
+	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateRevoked })
+	close(upstream.hold)
+	require.Equal(h.t, frame.KindResponse, running.last().Kind)
+}
+
 // requireOutcome requires a failed frame whose problem has the outcome.
 func requireOutcome(t *testing.T, f frame.Frame, outcome string) {
 	t.Helper()
@@ -35,8 +57,7 @@
 // Guards against a second booking when a copy of an order arrives while the
 // first one runs, after it is done, or as another attempt with the same key.
 func TestRepeatedOrderRunsOnce(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, true)
 	key := h.mint()
 	first := h.order(key)
 	stream := h.offer(context.Background(), first)
@@ -63,8 +84,7 @@
 // Guards against running an order after it was reported to its caller as not run,
 // because the revocation arrived before the first copy.
 func TestRevocationBeforeTheFirstCopy(t *testing.T) {
-	upstream := newFakeService(t, false)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, false)
 	a := h.order("")
 	require.Equal(t, attempt.StateRevoked, h.revoke(a).State)
 	requireOutcome(t, h.offer(context.Background(), a).next(), problem.OutcomeNotRun)
@@ -74,8 +94,7 @@
 // Guards against reporting a second attempt that has not arrived as not run,
 // while an attempt with its key runs or has run, or may still arrive.
 func TestRevocationOfAnUnseenAttemptAppliesToItsKey(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, true)
 	key := h.mint()
 	first := h.offer(context.Background(), h.order(key))
 	require.Equal(t, frame.KindAccepted, first.next().Kind)
@@ -93,8 +112,7 @@
 // Guards against reporting an order as not run that the upstream read before it
 // failed, and against running that order again.
 func TestUpstreamFailsDuringAnOrder(t *testing.T) {
-	upstream := newFakeService(t, false)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, false)
 	upstream.abort.Store(true)
 	key := h.mint()
 	requireOutcome(t, h.offer(context.Background(), h.order(key)).last(), problem.OutcomeUnknown)
@@ -107,8 +125,7 @@
 // Guards against reporting the outcome of an order as unknown that was sent to
 // no upstream, and against accepting work for an unreachable upstream.
 func TestUnreachableUpstreamRunsNothing(t *testing.T) {
-	upstream := newFakeService(t, false)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, false)
 	key := h.mint()
 	upstream.Close()
 	requireOutcome(t, h.offer(context.Background(), h.order(key)).last(), problem.OutcomeNotRun)
@@ -118,13 +135,8 @@
 
 // Guards against a paused process that starts work after the admission timeout.
 func TestPausedProcessRevokesExpiredWork(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(1, "a"), upstream.URL)
-	running := h.offer(context.Background(), h.order(""))
-	require.Equal(t, frame.KindAccepted, running.next().Kind)
-	waiting := h.order("")
-	queued := h.offer(context.Background(), waiting)
-	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	upstream, h := newPlainHarness(t, 1, true)
+	running, queued, waiting := h.queueOrder(context.Background())
 	h.advance(time.Hour)
 	close(upstream.hold)
 	requireOutcome(t, queued.last(), problem.OutcomeNotRun)
@@ -135,18 +147,8 @@
 
 // Guards against starting work whose requester has disconnected.
 func TestQueuedWorkOfADisconnectedRequesterIsRevoked(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(1, "a"), upstream.URL)
-	running := h.offer(context.Background(), h.order(""))
-	require.Equal(t, frame.KindAccepted, running.next().Kind)
-	waiting := h.order("")
-	ctx, disconnect := context.WithCancel(context.Background())
-	h.offer(ctx, waiting)
-	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
-	disconnect()
-	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateRevoked })
-	close(upstream.hold)
-	require.Equal(t, frame.KindResponse, running.last().Kind)
+	upstream, h := newPlainHarness(t, 1, true)
+	h.requireRevokedAtDisconnect(upstream)
 	require.EqualValues(t, 1, upstream.calls.Load())
 }
 
@@ -182,8 +184,7 @@
 // Guards against a restarted sidecar that runs an order, or reports it as not
 // run, although its predecessor may have run it.
 func TestRestartedSidecarRefusesItsPredecessorsOrders(t *testing.T) {
-	upstream := newFakeService(t, false)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, false)
 	key := h.mint()
 	done := h.order(key)
 	require.Equal(t, frame.KindResponse, h.offer(context.Background(), done).last().Kind)
@@ -212,13 +213,8 @@
 // against queued work that is not revoked there, and against running work that
 // is interrupted.
 func TestDataCentreOutOfService(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(1, "a"), upstream.URL)
-	running := h.offer(context.Background(), h.order(""))
-	require.Equal(t, frame.KindAccepted, running.next().Kind)
-	waiting := h.order("")
-	queued := h.offer(context.Background(), waiting)
-	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
+	upstream, h := newPlainHarness(t, 1, true)
+	running, queued, _ := h.queueOrder(context.Background())
 	h.state = fleet.StateOutOfService
 	h.publish()
 	require.Equal(t, load.PhaseLeaving, h.report().Phase)
@@ -236,8 +232,7 @@
 // Guards against gateways with outdated load reports that overload a cold
 // upstream.
 func TestStaleGatewaysCannotOverloadAColdUpstream(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(64, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 64, true)
 	limit := h.report().Limit
 	require.Less(t, limit, 64)
 	var streams []*frames
@@ -254,14 +249,14 @@
 
 // Guards against serving peers that do not send the peer secret.
 func TestPeersNeedTheSecret(t *testing.T) {
-	h := newHarness(t, plainService(1, "a"), newFakeService(t, false).URL)
+	_, h := newPlainHarness(t, 1, false)
 	response := h.request(context.Background(), http.MethodGet, "/v1/state", nil, "Authorization", "Bearer other")
 	require.Equal(t, http.StatusUnauthorized, response.StatusCode)
 }
 
 // Guards against records that are never deleted.
 func TestExpiredRecordsAreDeleted(t *testing.T) {
-	h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+	_, h := newPlainHarness(t, 8, false)
 	require.Equal(t, frame.KindResponse, h.offer(context.Background(), h.order(h.mint())).last().Kind)
 	h.advance(h.service.KeyLifetime() + ledger.Window)
 	h.await(func() bool { return h.sidecar.ledger.Len() == 0 })
@@ -270,8 +265,7 @@
 // Guards against running a copy of an order that was refused as not run while
 // the process had no configuration.
 func TestOrderRefusedWithoutConfigurationIsNeverRun(t *testing.T) {
-	upstream := newFakeService(t, false)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, false)
 	inForce := h.configurations.Current()
 	h.configurations.mu.Lock()
 	h.configurations.current = nil
@@ -287,7 +281,7 @@
 // Guards against a published concurrency limit that takes effect only after a
 // restart of the sidecar.
 func TestPublishedConcurrencyLimitIsApplied(t *testing.T) {
-	h := newHarness(t, plainService(16, "a"), newFakeService(t, false).URL)
+	_, h := newPlainHarness(t, 16, false)
 	h.service.ConcurrencyLimit = 1
 	h.publish()
 	require.Equal(t, 1, h.report().Limit)
--- a/internal/process/sidecar/run_test.go
+++ b/internal/process/sidecar/run_test.go
@@ -91,8 +91,7 @@
 // Guards against an order that a planned stop reports as lost while the upstream
 // still runs it, whether or not its requester is connected.
 func TestPlannedStopFinishesOrders(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 8, true)
 	s := h.serve()
 	first := h.order(h.mint())
 	ctx, disconnect := context.WithCancel(context.Background())
@@ -133,19 +132,9 @@
 // Guards against a listener that does not report the disconnect of a requester
 // whose work is queued.
 func TestListenerReportsDisconnectedRequesters(t *testing.T) {
-	upstream := newFakeService(t, true)
-	h := newHarness(t, plainService(1, "a"), upstream.URL)
+	upstream, h := newPlainHarness(t, 1, true)
 	h.serve()
-	running := h.offer(context.Background(), h.order(""))
-	require.Equal(t, frame.KindAccepted, running.next().Kind)
-	waiting := h.order("")
-	ctx, disconnect := context.WithCancel(context.Background())
-	h.offer(ctx, waiting)
-	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateQueued })
-	disconnect()
-	h.await(func() bool { return h.query(waiting.ID).State == attempt.StateRevoked })
-	close(upstream.hold)
-	require.Equal(t, frame.KindResponse, running.last().Kind)
+	h.requireRevokedAtDisconnect(upstream)
 }
 
 // Guards against accepting work on an instance that the instance list showed as
@@ -156,7 +145,7 @@
 		"replaced": {Name: "a-2", Service: "hire-app", Slot: "a", SlotIncarnation: 2, State: instance.StateLive},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+			_, h := newPlainHarness(t, 8, false)
 			h.sidecar.setInstances([]instance.Instance{listed}, time.Now())
 			requireOutcome(t, h.offer(context.Background(), h.order("")).last(), problem.OutcomeNotRun)
 			h.sidecar.setInstances(nil, time.Now())
@@ -168,7 +157,7 @@
 // Guards against ending the quarantine while an earlier holder of the slot may
 // still run orders.
 func TestEarlierHolderOfTheSlotExtendsTheQuarantine(t *testing.T) {
-	h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+	_, h := newPlainHarness(t, 8, false)
 	h.sidecar.settings.SlotIncarnation = 2
 	earlier := instance.Instance{Name: "a-0", Service: "hire-app", Slot: "a", SlotIncarnation: 1, State: instance.StateLive}
 	h.sidecar.setInstances([]instance.Instance{earlier}, time.Now())
@@ -212,8 +201,7 @@
 // Guards against a sidecar that cannot be created from its settings, drained
 // over the admin interface, or stopped.
 func TestRunServesAndStops(t *testing.T) {
-	upstream := newFakeService(t, false)
-	h := newHarness(t, plainService(8, "a"), upstream.URL)
+	_, h := newPlainHarness(t, 8, false)
 	path := filepath.Join(t.TempDir(), "secret")
 	require.NoError(t, os.WriteFile(path, []byte(secret+"\n"), 0o600))
 	set := &settings.Settings{
@@ -236,7 +224,7 @@
 // Guards against a process that hangs instead of reporting that it cannot listen
 // on its address.
 func TestUnusableAddressIsAnError(t *testing.T) {
-	h := newHarness(t, plainService(8, "a"), newFakeService(t, false).URL)
+	_, h := newPlainHarness(t, 8, false)
 	h.sidecar.settings.PeerAddress = "256.0.0.1:0"
 	result := make(chan error, 1)
 	go func() { result <- h.sidecar.Run(context.Background()) }()
