--- a/scenarios/call_test.go
+++ b/scenarios/call_test.go
@@ -85,6 +85,13 @@
 	return created
 }
 
+// setCompletion makes the call a completion request.
+func (c *call) setCompletion(prompt string, tokens int, stream bool) (err error) {
+	c.method, c.path, c.prompt = http.MethodPost, "/v1/completions", prompt
+	c.body, err = json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": tokens, "stream": stream})
+	return err
+}
+
 func (c *call) start() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	c.cancel = cancel
--- a/scenarios/chaos_test.go
+++ b/scenarios/chaos_test.go
@@ -1,7 +1,6 @@
 package scenarios_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -113,16 +112,12 @@
 func (h *chaos) sendCompletions(random *rand.Rand) {
 	for !h.stopped() {
 		c := h.cluster.newCall(h.gateways(random), "key-bakery")
-		c.method, c.path = http.MethodPost, "/v1/completions"
 		c.wantTokens = 1 + random.IntN(maxChaosTokens)
-		c.prompt = "quote " + uuid.NewString()
 		c.resume = true
-		body, err := json.Marshal(map[string]any{"model": model, "prompt": c.prompt, "max_tokens": c.wantTokens, "stream": true})
-		if err != nil {
+		if err := c.setCompletion("quote "+uuid.NewString(), c.wantTokens, true); err != nil {
 			h.t.Error(err)
 			return
 		}
-		c.body = body
 		c.start()
 		<-c.ended
 		h.mu.Lock()
@@ -155,25 +150,9 @@
 // mintKey requests a new order key, and returns false if that failed.
 func (h *chaos) mintKey(random *rand.Rand) (string, bool) {
 	gateway, _, _ := strings.Cut(h.gateways(random), ",")
-	url := "http://" + h.cluster.address(gateway, "caller") + "/v1/order-keys?service=" + plainService
-	request, err := http.NewRequest(http.MethodPost, url, nil)
-	if err != nil {
-		return "", false
-	}
-	request.Header.Set("Authorization", "Bearer key-bakery")
 	client := &http.Client{Timeout: maxFaultDuration, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(request)
-	if err != nil {
-		return "", false
-	}
-	defer func() { _ = response.Body.Close() }()
-	var answer struct {
-		OrderKey string `json:"order_key"`
-	}
-	if json.NewDecoder(response.Body).Decode(&answer) != nil {
-		return "", false
-	}
-	return answer.OrderKey, answer.OrderKey != ""
+	key, err := h.cluster.mintKey(client, gateway)
+	return key, err == nil
 }
 
 // fault is one kind of fault. Most kinds are undone before inject returns; cut and
@@ -297,13 +276,11 @@
 }
 
 func (h *chaos) breakConfigurationService(r *rand.Rand) error {
-	url := "http://" + h.cluster.platform + "/admin/configuration"
-	mode := []string{"down", "stale", "older"}[r.IntN(3)]
-	if err := sendJSON(http.MethodPost, url, map[string]string{"mode": mode}); err != nil {
+	if err := h.cluster.setConfigurationMode([]string{"down", "stale", "older"}[r.IntN(3)]); err != nil {
 		return err
 	}
 	time.Sleep(time.Duration(r.Int64N(int64(maxFaultDuration))))
-	return sendJSON(http.MethodPost, url, map[string]string{"mode": "up"})
+	return h.cluster.setConfigurationMode("up")
 }
 
 func (h *chaos) checkAnswers() {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -88,12 +89,9 @@
 	pause := flags.Duration("pause", 0, "")
 	after := flags.String("after", "", "name of the call whose last event ID is sent as Last-Event-ID")
 	name := argument(ts, parse(ts, flags, args), 0)
-	prompt := "quote for " + name
-	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": *tokens, "stream": !*whole})
-	ts.Check(err)
 	c := newCall(ts, *gateways, *key)
-	c.method, c.path, c.body = http.MethodPost, "/v1/completions", body
-	c.prompt, c.resume, c.pause = prompt, *resume, *pause
+	ts.Check(c.setCompletion("quote for "+name, *tokens, !*whole))
+	c.resume, c.pause = *resume, *pause
 	if !*whole {
 		c.wantTokens = *tokens
 	}
@@ -139,21 +137,32 @@
 	if len(args) > 1 {
 		gateway = args[1]
 	}
-	address := clusterOf(ts).address(gateway, "caller")
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/order-keys?service="+plainService, nil)
+	key, err := clusterOf(ts).mintKey(http.DefaultClient, gateway)
 	ts.Check(err)
+	ts.Setenv(argument(ts, args, 0), key)
+}
+
+// mintKey requests a new order key from the gateway.
+func (c *cluster) mintKey(client *http.Client, gateway string) (string, error) {
+	url := "http://" + c.address(gateway, "caller") + "/v1/order-keys?service=" + plainService
+	request, err := http.NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		return "", err
+	}
 	request.Header.Set("Authorization", "Bearer key-bakery")
-	response, err := http.DefaultClient.Do(request)
-	ts.Check(err)
+	response, err := client.Do(request)
+	if err != nil {
+		return "", err
+	}
 	defer func() { _ = response.Body.Close() }()
 	var answer struct {
 		OrderKey string `json:"order_key"`
 	}
-	ts.Check(json.NewDecoder(response.Body).Decode(&answer))
-	if answer.OrderKey == "" {
-		ts.Fatalf("no order key in the response: status %d", response.StatusCode)
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	if err == nil && answer.OrderKey == "" {
+		err = errors.Newf("no order key in the response: status %d", response.StatusCode)
 	}
-	ts.Setenv(argument(ts, args, 0), answer.OrderKey)
+	return answer.OrderKey, err
 }
 
 func callOf(ts *testscript.TestScript, name string) *call {
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -37,8 +37,11 @@
 // setConfigurationService: platform up|down|stale|older sets the mode of the
 // configuration service. Package configservice defines the modes.
 func setConfigurationService(ts *testscript.TestScript, _ bool, args []string) {
-	url := "http://" + clusterOf(ts).platform + "/admin/configuration"
-	ts.Check(sendJSON(http.MethodPost, url, map[string]string{"mode": argument(ts, args, 0)}))
+	ts.Check(clusterOf(ts).setConfigurationMode(argument(ts, args, 0)))
+}
+
+func (c *cluster) setConfigurationMode(mode string) error {
+	return sendJSON(http.MethodPost, "http://"+c.platform+"/admin/configuration", map[string]string{"mode": mode})
 }
 
 // publishVersion: publish uploads the operators' files as a new configuration
