Use permits that arrive late

Cause: a router waits 150 ms for the permit of an issuer. A permit that arrived later was dropped, but the issuer had issued it, so that it was lost for all routers. Where answers take longer, as on a crowded machine, an upstream that states a limit gets few requests or none; and because only an answer can lift the limit, it stays in force after the upstream no longer states it.

A late permit is now kept and used by a later request of the same router to the same upstream, at most 1.5 s after it was asked for.

Not mended: an issuer counts refusals, not refused routers, so that several requests of one router at once lengthen the time after which it asks again.

--- a/internal/process/router/ratepermit/exchange.go
+++ b/internal/process/router/ratepermit/exchange.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
@@ -19,11 +21,18 @@
 	maxMessageBytes = 64 << 10
 )
 
-// requestLimits bound a request for a permit, for which a caller's request waits.
+// answerWait is how long a caller's request waits for the answer of an issuer.
+const answerWait = 150 * time.Millisecond
+
+// requestLimits bound a request for a permit. An answer after answerWait still counts,
+// because the issuer has issued the permit and gives it to nobody else.
 var requestLimits = upstreamclient.FetchLimits{
-	Head: 150 * time.Millisecond, Stall: 150 * time.Millisecond, Total: 300 * time.Millisecond, MaxBytes: maxMessageBytes,
+	Head: latePermitLifetime, Stall: answerWait, Total: latePermitLifetime, MaxBytes: maxMessageBytes,
 }
 
+// errLate is the error of an answer that does not arrive within answerWait.
+var errLate = errors.Newf("no answer within %s", answerWait)
+
 // permitRequest is a request for a permit.
 type permitRequest struct {
 	// Limit is the limit that the sender knows.
@@ -45,15 +54,45 @@
 // Path returns the URL path at which ServeHTTP must be served.
 func Path() string { return permitPath }
 
-// fetch asks another router for a permit.
-func (p *Permits) fetch(ctx context.Context, issuer string, limit statedlimit.Limit, maxWait time.Duration) (Decision, error) {
-	request := permitRequest{Limit: limit, MaxWaitMillis: maxWait.Milliseconds()}
-	var response permitResponse
-	_, err := p.fetcher.PostJSON(ctx, issuer, permitPath, request, &response, 0)
+// answer is the answer of an issuer.
+type answer struct {
+	decision Decision
+	err      error
+}
+
+// ask asks another router for a permit and waits for its answer for answerWait at most.
+// A permit that arrives later is kept for the next request.
+func (p *Permits) ask(ctx context.Context, s source, maxWait time.Duration) (Decision, error) {
+	waiting, stop := context.WithTimeout(ctx, answerWait)
+	defer stop()
+	asked := p.clock()
+	answers := make(chan answer)
+	go func() {
+		var a answer
+		a.decision, a.err = p.fetch(context.WithoutCancel(ctx), s, maxWait)
+		select {
+		case answers <- a:
+		case <-waiting.Done():
+			p.keepLate(s, a, asked)
+		}
+	}()
+	a := answer{err: errLate}
+	select {
+	case a = <-answers:
+	case <-waiting.Done():
+	}
 	if ctx.Err() == nil {
-		p.noteAnswer(issuer, limit, err)
+		p.noteAnswer(s.issuer, s.limit, a.err)
 	}
-	if err != nil {
+	return a.decision, a.err
+}
+
+// fetch sends a request for a permit to another router and returns its answer.
+func (p *Permits) fetch(ctx context.Context, s source, maxWait time.Duration) (Decision, error) {
+	limit := s.limit
+	request := permitRequest{Limit: limit, MaxWaitMillis: maxWait.Milliseconds()}
+	var response permitResponse
+	if _, err := p.fetcher.PostJSON(ctx, s.issuer, permitPath, request, &response, 0); err != nil {
 		return Decision{}, err
 	}
 	if response.Limit != nil {
--- a/internal/process/router/ratepermit/permits.go
+++ b/internal/process/router/ratepermit/permits.go
@@ -29,6 +29,10 @@
 	// are not in use are removed. idleLifetime is when an upstream is not in use.
 	maxEntries   = 256
 	idleLifetime = time.Minute
+	// latePermitLifetime is the time after the request for a permit within which the
+	// permit is used if the answer is late. Permits that are used up to 2 s late keep
+	// within 1.5 times the limit in each 4 s, which is what upstreams tolerate.
+	latePermitLifetime = 1500 * time.Millisecond
 )
 
 // Peers names the routers that are alive.
@@ -82,6 +86,8 @@
 	issued map[statedlimit.Upstream]*issue
 	// backoffs holds when an issuer may be asked again.
 	backoffs map[source]time.Time
+	// late holds the permits that arrived after the request for them had given up.
+	late map[source][]latePermit
 	// silent holds the issuers that did not answer the last request for a permit.
 	silent map[string]bool
 }
@@ -105,7 +111,7 @@
 	return &Permits{
 		address: o.Address, peers: o.Peers, limits: o.Limits, fetcher: upstreamclient.NewFetcher(o.Pool, requestLimits),
 		log: o.Log, metrics: newMetrics(o.Scope), clock: o.Clock, issued: make(map[statedlimit.Upstream]*issue),
-		backoffs: make(map[source]time.Time), silent: make(map[string]bool),
+		backoffs: make(map[source]time.Time), late: make(map[source][]latePermit), silent: make(map[string]bool),
 	}
 }
 
@@ -120,11 +126,15 @@
 	issuers := p.peers.Ranked(u.ID, issuerCount)
 	rand.Shuffle(len(issuers), func(i, j int) { issuers[i], issuers[j] = issuers[j], issuers[i] })
 	for _, issuer := range issuers {
-		if backoff := p.backoff(source{limit, issuer}); backoff > maxWait {
+		s := source{limit, issuer}
+		d, found := p.takeLate(s, maxWait)
+		if backoff := p.backoff(s); !found && backoff > maxWait {
 			refused.RetryIn = min(refused.RetryIn, backoff)
 			continue
 		}
-		d := p.request(ctx, issuer, limit, maxWait)
+		if !found {
+			d = p.request(ctx, s, maxWait)
+		}
 		if d.Granted {
 			p.metrics.granted.Inc(1)
 			return d
@@ -137,17 +147,17 @@
 
 // request obtains a permit from the issuer. After a refusal the issuer is not asked
 // again for the time that it states.
-func (p *Permits) request(ctx context.Context, issuer string, limit statedlimit.Limit, maxWait time.Duration) Decision {
-	d := Decision{RetryIn: failureBackoff, Limit: limit}
-	if issuer == p.address {
-		d = p.issue(limit, maxWait, p.clock())
-	} else if answer, err := p.fetch(ctx, issuer, limit, maxWait); err == nil {
+func (p *Permits) request(ctx context.Context, s source, maxWait time.Duration) Decision {
+	d := Decision{RetryIn: failureBackoff, Limit: s.limit}
+	if s.issuer == p.address {
+		d = p.issue(s.limit, maxWait, p.clock())
+	} else if answer, err := p.ask(ctx, s, maxWait); err == nil {
 		d = answer
 	} else if ctx.Err() != nil {
 		return d
 	}
 	if !d.Granted {
-		p.setBackoff(source{limit, issuer}, d.RetryIn)
+		p.setBackoff(s, d.RetryIn)
 	}
 	return d
 }
