--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -46,6 +46,8 @@
 	plainDelay string
 	// idleTimeoutMillis is the idle timeout of all listeners, 0 for the default.
 	idleTimeoutMillis int
+	// maxBodyBytes is the limit of a request body, 0 for the default.
+	maxBodyBytes int
 	// memoryTokens is the size of the engines' KV cache in tokens, 0 for the
 	// default.
 	memoryTokens int
@@ -352,6 +354,7 @@
 	}
 	s.PeerSecretFile = c.path("peer.secret")
 	s.IdleTimeoutMillis = c.options.idleTimeoutMillis
+	s.MaxBodyBytes = c.options.maxBodyBytes
 	s.TraceFile = c.path(s.Name + ".spans.jsonl")
 	file := c.path(s.Name + ".settings.json")
 	if err := writeJSON(file, s); err != nil {
