Bound what callers can make a listener buffer

The library's parser buffers an unfinished line, header or body up to the limit of a body for each connection, and the listener read any number of pipelined requests ahead of their responses. 20 callers took 140 to 1,366 MB.

Package bytemeter counts bytes before the parser buffers them. The listener refuses headers, lines, fields, empty lines and pipelined requests over a limit (400, 431 or 503) and closes the connection after the earlier responses. The memory of all requests in progress is bounded for each listener: above the bound, only connections with at most 64 KiB are still accepted, up to a quarter more. Handlers wait while all unsent responses together exceed a bound. The library keeps only small buffers for later use, as it handed the largest ones out for a few bytes. memory_mb sets the bounds and the runtime's soft limit.

connection.end is the one way to close a socket, so that a connection closed by an aborted response counts as ended.

--- a/cmd/flamingohold/hostprocess.go
+++ b/cmd/flamingohold/hostprocess.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
 	"github.com/flamingohold/flamingohold/internal/process/logsink"
+	"github.com/flamingohold/flamingohold/internal/process/memorylimit"
 	"github.com/flamingohold/flamingohold/internal/process/reload"
 	"github.com/flamingohold/flamingohold/internal/process/reporter"
 	"github.com/flamingohold/flamingohold/internal/process/router"
@@ -65,6 +66,7 @@
 	}
 	sink := logsink.New(p.stdout, eventlog.DroppedLine)
 	defer sink.Close()
+	memorylimit.Set(s.MemoryBytes, os.LookupEnv)
 	log := eventlog.New(sink, level, s.Name)
 	if err := p.serveHostProcess(ctx, s, log, construct); err != nil {
 		log.Emit(eventlog.ProcessFailed).Err(err).Send()
--- a/cmd/flamingohold/process.go
+++ b/cmd/flamingohold/process.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/process/memorylimit"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 )
@@ -71,6 +72,7 @@
 		return exitProcess
 	}
 	log := eventlog.New(p.stderr, level, s.Name)
+	memorylimit.Set(s.MemoryBytes(), os.LookupEnv)
 	if err := serve(ctx, s, log, construct); err != nil {
 		log.Emit(eventlog.ProcessFailed).Err(err).Send()
 		return exitProcess
--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/flamingohold/flamingohold/internal/connection/bytemeter"
 	"github.com/flamingohold/flamingohold/internal/connection/stream"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
@@ -23,6 +25,26 @@
 // that is still sending reads the refusal and not a reset.
 const refusalLinger = 2 * time.Second
 
+// refusalRetryAfter is stated in a refusal for lack of memory. The requests that use it
+// end or are refused within seconds.
+const refusalRetryAfter = time.Second
+
+const (
+	// requestBytes and fieldBytes are the memory that a request and each line of its
+	// header take in addition to their bytes, in the listener and in the handler:
+	// 150 requests of 2,300 fields of 7 bytes took 105 MB in a router.
+	requestBytes = 2 << 10
+	fieldBytes   = 320
+	// modestBytes is the memory of a connection's requests up to which they are still
+	// accepted when those of all connections exceed the bound by less than
+	// 1/modestReserve of it.
+	modestBytes   = 64 << 10
+	modestReserve = 4
+	// minUnsentBytes is the number of unsent bytes of a connection that never make its
+	// handler wait.
+	minUnsentBytes = 64 << 10
+)
+
 // connection is the layer between the library's parser and its socket. It
 // counts the unsent bytes, enforces the deadlines, and delays a close until the
 // queue of unsent bytes is empty.
@@ -38,6 +60,8 @@
 	sent atomic.Int64
 	// drained receives a value after bytes have been sent.
 	drained chan struct{}
+	// meter is used only by the goroutine of the poller.
+	meter bytemeter.Meter
 
 	mu sync.Mutex
 	// active is the number of received requests whose response is not complete.
@@ -69,6 +93,12 @@
 	// sent that inspect observed.
 	lastSent   int64
 	lastSentAt time.Time
+	// held is the memory of the requests on the connection, and receivingBytes the part
+	// of the request that is being received. requests holds those of the active ones.
+	held, receivingBytes int64
+	requests             []int64
+	// released is true once held no longer counts.
+	released bool
 }
 
 func newConnection(l *Listener, socket *nbio.Conn, now time.Time) *connection {
@@ -169,13 +199,13 @@
 
 // Wait blocks until at most limit bytes are queued.
 func (c *connection) Wait(limit int64) error {
-	if c.queued.Load() <= limit && !c.Closed() {
+	if c.mayQueue(limit) && !c.Closed() {
 		return nil
 	}
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for !c.Closed() {
-		if c.queued.Load() <= limit {
+		if c.mayQueue(limit) {
 			return nil
 		}
 		select {
@@ -186,8 +216,55 @@
 	return stream.ErrClosed
 }
 
-// beginReceiving is called when data arrives. It returns false if the data must
-// be ignored.
+// mayQueue reports whether at most limit bytes are queued, and few if all connections
+// together exceed their bound.
+func (c *connection) mayQueue(limit int64) bool {
+	queued := c.queued.Load()
+	return queued <= limit && (queued <= minUnsentBytes || c.listener.unsent.Load() <= c.listener.options.MaxUnsentBytes)
+}
+
+// accepts reports whether data that arrives is parsed.
+func (c *connection) accepts() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusal == nil && !c.ended
+}
+
+// charge adds the memory of a piece to that of the requests. It reports whether the
+// request may be received further: while the requests of all connections exceed
+// their bound, only modest ones are accepted, up to a reserve.
+func (c *connection) charge(p bytemeter.Piece, starts bool) bool {
+	cost := int64(p.Size)
+	if starts {
+		cost += requestBytes
+	}
+	if p.EndsLine {
+		cost += fieldBytes
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.released {
+		return false
+	}
+	c.held += cost
+	c.receivingBytes += cost
+	total := c.listener.received.Add(cost)
+	limit := c.listener.options.MaxReceivedBytes
+	return total <= limit || (c.held <= modestBytes && total <= limit+limit/modestReserve)
+}
+
+// release ends the accounting of the connection's requests.
+func (c *connection) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.released {
+		c.listener.received.Add(-c.held)
+		c.released = true
+	}
+}
+
+// beginReceiving is called when a request begins to arrive. It returns false if the
+// data must be ignored.
 func (c *connection) beginReceiving(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -224,8 +301,14 @@
 	if c.refusal != nil || c.ended {
 		return false
 	}
+	if c.active >= c.listener.options.MaxPipelined {
+		c.refuseLocked(tooManyPipelined())
+		return false
+	}
 	c.active++
 	c.deadline = time.Time{}
+	c.requests = append(c.requests, c.receivingBytes)
+	c.receivingBytes = 0
 	return true
 }
 
@@ -234,6 +317,7 @@
 	c.mu.Lock()
 	c.active = max(0, c.active-1)
 	c.cancel = nil
+	c.endCharge()
 	idle := c.active == 0
 	closeWhenSent := c.closeWhenSent
 	c.ended = c.ended || (idle && closeWhenSent)
@@ -244,12 +328,25 @@
 	switch {
 	case !idle:
 	case closeWhenSent && c.queued.Load() == 0:
-		_ = c.socket.Close()
+		c.abort()
 	default:
 		c.sendRefusal(now)
 	}
 }
 
+// endCharge subtracts the memory of the oldest request. The caller must hold c.mu.
+func (c *connection) endCharge() {
+	if len(c.requests) == 0 || c.released {
+		return
+	}
+	cost := c.requests[0]
+	if c.requests = c.requests[1:]; len(c.requests) == 0 {
+		c.requests = nil
+	}
+	c.held -= cost
+	c.listener.received.Add(-cost)
+}
+
 // serving reports whether any request is being served.
 func (c *connection) serving() bool {
 	c.mu.Lock()
@@ -275,9 +372,16 @@
 func (c *connection) refuse(p problem.Problem) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refusal == nil {
-		c.refusal = &p
+	c.refuseLocked(p)
+}
+
+// refuseLocked is refuse for a caller that holds c.mu.
+func (c *connection) refuseLocked(p problem.Problem) {
+	if c.refusal != nil || c.ended {
+		return
 	}
+	c.refusal = &p
+	c.listener.options.OnRefusal(p.Kind())
 }
 
 // sendRefusal sends the refusal, if there is one, once the responses to earlier
@@ -310,6 +414,9 @@
 		Body:          io.NopCloser(bytes.NewReader(body)),
 		Close:         true,
 	}
+	if p.RetryAfterSeconds > 0 {
+		response.Header.Set("Retry-After", strconv.Itoa(p.RetryAfterSeconds))
+	}
 	var buffer bytes.Buffer
 	_ = response.Write(&buffer)
 	return buffer.Bytes()
@@ -358,7 +465,14 @@
 	return c.Closed()
 }
 
-// end closes the socket. Data that arrives meanwhile is not served. The caller must
+// abort is end for a caller that does not hold c.mu.
+func (c *connection) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+}
+
+// end closes the socket, and is the only way to do so. Data that arrives meanwhile is not served. The caller must
 // hold c.mu.
 func (c *connection) end() {
 	c.ended = true
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -7,13 +7,16 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/flamingohold/flamingohold/internal/connection/bytemeter"
 	"github.com/flamingohold/flamingohold/internal/connection/stream"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -40,10 +43,26 @@
 	// sweep closes them.
 	libraryIdleTimeout = 10 * 365 * 24 * time.Hour
 	// defaultReceiveTimeout bounds the time to receive one request.
-	defaultReceiveTimeout = 30 * time.Second
-	defaultIdleTimeout    = 120 * time.Second
-	defaultMaxBodyBytes   = 8 << 20
-	defaultMaxConnections = 20_000
+	defaultReceiveTimeout   = 30 * time.Second
+	defaultIdleTimeout      = 120 * time.Second
+	defaultMaxBodyBytes     = 8 << 20
+	defaultMaxConnections   = 20_000
+	defaultMaxFields        = 4096
+	defaultMaxEmptyLines    = 4
+	defaultMaxPipelined     = 32
+	defaultMaxReceivedBytes = 256 << 20
+	defaultMaxUnsentBytes   = 128 << 20
+	// receivedShare and unsentShare are the shares of a process's memory that its
+	// requests and its unsent responses may use.
+	receivedShare = 4
+	unsentShare   = 8
+	// lineSlackBytes is added to the bound of the header for the default bound of a
+	// line, so that a header of one line exceeds the header's bound first.
+	lineSlackBytes = 128
+	// pooledBufferBytes bounds the buffers that the library keeps for later use. It
+	// takes any of them for a few bytes, so a larger bound would let one connection
+	// hold the memory of another one's body.
+	pooledBufferBytes = 4 << 10
 	// peerMessageOverheadBytes bounds the fields of a peer message other than the
 	// request body.
 	peerMessageOverheadBytes = 1 << 20
@@ -65,6 +84,27 @@
 	// ReceiveTimeout bounds the time from the first to the last byte of a request,
 	// 30 s by default. A connection that exceeds it is closed.
 	ReceiveTimeout time.Duration
+	// MaxLineBytes bounds the request line, and each field of a header, with its end.
+	// The default is the bound of the header.
+	MaxLineBytes int
+	// MaxFields bounds the fields of the header and trailer of a request, 4,096 by
+	// default.
+	MaxFields int
+	// MaxEmptyLines bounds the empty lines before a request, 4 by default.
+	MaxEmptyLines int
+	// MaxPipelined bounds the requests of one connection that have no complete
+	// response yet, 32 by default.
+	MaxPipelined int
+	// MaxReceivedBytes bounds the memory of all requests that have no complete response
+	// yet, or are still being received, 256 MiB by default. When it is exceeded,
+	// requests are refused, first those of connections that hold much of it.
+	MaxReceivedBytes int64
+	// MaxUnsentBytes bounds the unsent responses of all connections, 128 MiB by
+	// default. When it is exceeded, handlers wait until callers have read.
+	MaxUnsentBytes int64
+	// OnRefusal is called with the type of the problem when a request is refused
+	// before a handler sees it. It must not block. nil ignores refusals.
+	OnRefusal func(reason string)
 	// Limits returns the limits that may change while the listener serves. If it
 	// is nil or a limit is 0, the limits above apply.
 	Limits func() Limits
@@ -114,12 +154,33 @@
 	if address == s.PeerAddress && maxBodyBytes > 0 {
 		maxBodyBytes = base64.StdEncoding.EncodedLen(maxBodyBytes) + peerMessageOverheadBytes
 	}
-	return Options{
+	o := Options{
 		Address:        address,
 		MaxBodyBytes:   maxBodyBytes,
 		MaxConnections: s.MaxConnections,
 		IdleTimeout:    time.Duration(s.IdleTimeoutMillis) * time.Millisecond,
+		MaxLineBytes:   s.MaxHeaderLineBytes,
+		MaxFields:      s.MaxHeaderFields,
+		MaxEmptyLines:  s.MaxEmptyLines,
+		MaxPipelined:   s.MaxPipelinedRequests,
+	}.WithMemory(s.MemoryBytes())
+	if s.MaxReceivedBytes > 0 {
+		o.MaxReceivedBytes = int64(s.MaxReceivedBytes)
+	}
+	if s.MaxUnsentBytes > 0 {
+		o.MaxUnsentBytes = int64(s.MaxUnsentBytes)
 	}
+	return o
+}
+
+// WithMemory returns options in which the bounds of the received and the unsent bytes
+// suit a process that has the given memory. Zero leaves the options unchanged.
+func (o Options) WithMemory(bytes int64) Options {
+	if bytes > 0 {
+		o.MaxReceivedBytes = bytes / receivedShare
+		o.MaxUnsentBytes = bytes / unsentShare
+	}
+	return o
 }
 
 func (o Options) withDefaults() Options {
@@ -135,6 +196,24 @@
 	if o.ReceiveTimeout <= 0 {
 		o.ReceiveTimeout = defaultReceiveTimeout
 	}
+	if o.MaxFields <= 0 {
+		o.MaxFields = defaultMaxFields
+	}
+	if o.MaxEmptyLines <= 0 {
+		o.MaxEmptyLines = defaultMaxEmptyLines
+	}
+	if o.MaxPipelined <= 0 {
+		o.MaxPipelined = defaultMaxPipelined
+	}
+	if o.MaxReceivedBytes <= 0 {
+		o.MaxReceivedBytes = defaultMaxReceivedBytes
+	}
+	if o.MaxUnsentBytes <= 0 {
+		o.MaxUnsentBytes = defaultMaxUnsentBytes
+	}
+	if o.OnRefusal == nil {
+		o.OnRefusal = func(string) {}
+	}
 	if o.OnPanic == nil {
 		o.OnPanic = func(any, []byte) {}
 	}
@@ -151,6 +230,10 @@
 	// stopped is closed when the sweep must end.
 	stopped chan struct{}
 	sweeper sync.WaitGroup
+	// received is the memory of the requests of all connections.
+	received atomic.Int64
+	// unsent is the number of unsent bytes of all connections at the last sweep.
+	unsent atomic.Int64
 
 	mu sync.Mutex
 	// open holds all connections.
@@ -166,7 +249,7 @@
 	shutDown bool
 }
 
-var disableLibraryLog sync.Once
+var configureLibrary sync.Once
 
 // New returns a listener that is serving. The handler's writer is a
 // *stream.Writer, and the context of its request is cancelled when the caller
@@ -174,7 +257,10 @@
 // returned.
 func New(options Options, handler http.Handler) (*Listener, error) {
 	// The library logs to standard output errors that the listener handles itself.
-	disableLibraryLog.Do(func() { logging.SetLevel(logging.LevelNone) })
+	configureLibrary.Do(func() {
+		logging.SetLevel(logging.LevelNone)
+		mempool.DefaultMemPool = mempool.New(0, pooledBufferBytes)
+	})
 	inner, err := net.Listen("tcp", options.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", options.Address)
@@ -328,16 +414,58 @@
 		parser.Processor = &processor{Processor: parser.Processor, connection: c, maxBodyBytes: int64(l.options.MaxBodyBytes)}
 		parser.Conn = c
 	}
-	if !c.beginReceiving(time.Now()) {
+	if !c.accepts() {
 		return
 	}
 	l.markBusy(c)
-	if err := parser.Parse(data); err != nil {
-		c.refuse(refusalForParseError(err))
-	}
+	l.parse(c, parser, data)
 	c.sendRefusal(time.Now())
 }
 
+// parse passes the data to the parser in pieces, until a piece is refused. The parser
+// buffers each line, and each body, until it is complete.
+func (l *Listener) parse(c *connection, parser *nbhttp.Parser, data []byte) {
+	limits := l.meterLimits()
+	for len(data) > 0 {
+		starts := c.meter.AtStart()
+		piece := c.meter.Next(data, limits)
+		if piece.Violation != bytemeter.None {
+			c.refuse(refusalForViolation(piece.Violation))
+			return
+		}
+		part := data[:piece.Size]
+		data = data[piece.Size:]
+		if piece.Kind == bytemeter.KindSkipped {
+			continue
+		}
+		if starts && !c.beginReceiving(time.Now()) {
+			return
+		}
+		if !c.charge(piece, starts) {
+			c.refuse(overloaded())
+			return
+		}
+		if err := parser.Parse(part); err != nil {
+			c.refuse(refusalForParseError(err))
+		}
+		if !c.accepts() {
+			return
+		}
+	}
+}
+
+// meterLimits returns the limits of a request's bytes in force.
+func (l *Listener) meterLimits() bytemeter.Limits {
+	header := l.options.limits().MaxHeaderBytes
+	limits := bytemeter.Limits{
+		HeaderBytes: header, LineBytes: header + lineSlackBytes, Fields: l.options.MaxFields, EmptyLines: l.options.MaxEmptyLines,
+	}
+	if l.options.MaxLineBytes > 0 {
+		limits.LineBytes = l.options.MaxLineBytes
+	}
+	return limits
+}
+
 func (l *Listener) markBusy(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -374,6 +502,7 @@
 	defer l.mu.Unlock()
 	if c := l.open[socket]; c != nil {
 		c.finish()
+		c.release()
 	}
 	delete(l.open, socket)
 }
@@ -394,12 +523,15 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	c.setCancel(cancel)
+	if c.Wait(stream.MaxQueuedBytes) != nil {
+		return
+	}
 	s := stream.NewWithConnection(w, r.Method, c)
 	defer l.recoverPanic(s, c)
 	l.handler.ServeHTTP(s, r.WithContext(ctx))
 	if ctx.Err() != nil && !s.Started() {
 		// The library would send status 200 for a handler that gave up.
-		_ = c.socket.Close()
+		c.abort()
 	}
 }
 
@@ -415,7 +547,7 @@
 		l.options.OnPanic(value, debug.Stack())
 	}
 	if w.Started() || value == http.ErrAbortHandler { //nolint:errorlint // see above
-		_ = c.socket.Close()
+		c.abort()
 		return
 	}
 	failure := problem.Unknown("internal_error", "the handler of the request failed")
@@ -444,11 +576,14 @@
 	idleTimeout := l.options.limits().IdleTimeout
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	unsent := int64(0)
 	for c := range l.busy {
+		unsent += c.queued.Load()
 		if !c.inspect(now, idleTimeout) {
 			delete(l.busy, c)
 		}
 	}
+	l.unsent.Store(unsent)
 }
 
 func (l *Listener) sweepOpen(now time.Time) {
@@ -457,6 +592,7 @@
 	defer l.mu.Unlock()
 	for socket, c := range l.open {
 		if !c.inspect(now, idleTimeout) && c.Closed() && !c.serving() {
+			c.release()
 			delete(l.open, socket)
 		}
 	}
--- a/internal/connection/listener/processor.go
+++ b/internal/connection/listener/processor.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/flamingohold/flamingohold/internal/connection/bytemeter"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
 
@@ -48,7 +49,7 @@
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	p.headerBytes += len(key) + len(value)
 	if p.headerBytes > p.connection.listener.options.limits().MaxHeaderBytes {
-		p.connection.refuse(problem.Rejected("header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the request header exceeds the limit"))
+		p.connection.refuse(headerTooLarge())
 		return
 	}
 	if strings.ContainsFunc(value, isControl) {
@@ -70,6 +71,7 @@
 
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
 	p.connection.endHeader()
+	p.connection.meter.EndHeader(length, p.encodings > 0)
 	switch {
 	case p.lengths+p.encodings > 1:
 		p.connection.refuse(malformedRequest("the request has more than one Content-Length or Transfer-Encoding"))
@@ -84,6 +86,7 @@
 }
 
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
+	p.connection.meter.EndRequest()
 	if p.connection.beginRequest() {
 		p.Processor.OnComplete(parser)
 		return
@@ -112,6 +115,34 @@
 	return problem.Rejected("body_too_large", http.StatusRequestEntityTooLarge, "the request body exceeds the limit")
 }
 
+// overloaded is the refusal of a request for which the process has no memory left.
+func overloaded() problem.Problem {
+	return problem.NotRun("overloaded", "the requests in progress use the memory for requests", refusalRetryAfter)
+}
+
+func tooManyPipelined() problem.Problem {
+	return problem.NotRun("too_many_pipelined", "the connection has too many requests without a response", refusalRetryAfter)
+}
+
+func headerTooLarge() problem.Problem {
+	return problem.Rejected("header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the request header exceeds the limit")
+}
+
+func refusalForViolation(v bytemeter.Violation) problem.Problem {
+	switch v {
+	case bytemeter.LineTooLong:
+		return problem.Rejected("line_too_long", http.StatusRequestHeaderFieldsTooLarge, "a line of the request exceeds the limit")
+	case bytemeter.TooManyFields:
+		return problem.Rejected("too_many_fields", http.StatusRequestHeaderFieldsTooLarge, "the request has too many header fields")
+	case bytemeter.TooManyEmptyLines:
+		return problem.Rejected("too_many_empty_lines", http.StatusBadRequest, "too many empty lines precede the request")
+	case bytemeter.BareCR:
+		return malformedRequest("a carriage return precedes the request")
+	default:
+		return headerTooLarge()
+	}
+}
+
 func refusalForParseError(err error) problem.Problem {
 	switch {
 	case errors.Is(err, nbhttp.ErrTooLong):
--- a/internal/connection/stream/stream.go
+++ b/internal/connection/stream/stream.go
@@ -11,8 +11,8 @@
 	// The library releases a buffer and uses it again if an unsent chunk and the
 	// next one exceed 64 KiB together.
 	maxChunkBytes = 32 << 10
-	// maxQueuedBytes is the amount of unsent data above which Write blocks.
-	maxQueuedBytes = 1 << 20
+	// MaxQueuedBytes is the amount of unsent data above which Write blocks.
+	MaxQueuedBytes = 1 << 20
 )
 
 // ErrClosed is returned by Write after the caller has disconnected.
@@ -113,7 +113,7 @@
 	if w.pending+len(data) > maxChunkBytes {
 		w.Flush()
 	}
-	if err := w.connection.Wait(maxQueuedBytes); err != nil {
+	if err := w.connection.Wait(MaxQueuedBytes); err != nil {
 		return 0, err
 	}
 	w.pending += len(data)
--- a/internal/process/eventlog/process.go
+++ b/internal/process/eventlog/process.go
@@ -20,8 +20,13 @@
 		1003, "process_failed", zerolog.ErrorLevel,
 		"The process cannot start or continue.", "Read the error and correct the settings.",
 	}
+	CallersRefused = Event{
+		1004, "callers_refused", zerolog.WarnLevel,
+		"A listener refused requests that exceed a limit or are malformed, before they ran; at most one line in 10 s for each reason.",
+		"See docs/OPERATIONS.md.",
+	}
 )
 
 func processEvents() []Event {
-	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed}
+	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, CallersRefused}
 }
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/decisions"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instancelist"
+	"github.com/flamingohold/flamingohold/internal/process/refusallog"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/pkg/problem"
@@ -76,6 +77,7 @@
 
 func (g *Gateway) listen(address string, handler http.Handler) (*listener.Listener, error) {
 	o := listener.OptionsFromSettings(g.settings, address)
+	o.OnRefusal = refusallog.New(g.log, g.telemetry.Scope(), g.clock).Record
 	o.OnPanic = func(value any, stack []byte) {
 		g.log.Emit(eventlog.GatewayPanicked).Interface("panic", value).Bytes("stack", stack).Send()
 	}
--- a/internal/process/hostsettings/settings.go
+++ b/internal/process/hostsettings/settings.go
@@ -33,6 +33,8 @@
 	// LinkMbps is the bandwidth of the instance's network link in megabits a second,
 	// 0 if unknown.
 	LinkMbps float64
+	// MemoryBytes is the memory of the instance in bytes, 0 if unknown.
+	MemoryBytes int64
 	// MaxDescriptors is the limit of open file descriptors of the process.
 	MaxDescriptors int
 	// ShutdownNotice is the time between SIGTERM and SIGKILL.
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
+	"github.com/flamingohold/flamingohold/internal/process/refusallog"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
@@ -46,6 +47,7 @@
 	upstream  Upstream
 	log       *eventlog.Log
 	telemetry *telemetry.Telemetry
+	refusals  *refusallog.Log
 	clock     func() time.Time
 	turns     *turnqueue.Queue
 
@@ -69,7 +71,8 @@
 	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: callTimeout}, time.Now)
 	return &Reporter{
 		settings: s, upstream: upstream(pool), log: log, telemetry: t, clock: time.Now,
-		turns: turnqueue.New(), changed: make(chan struct{}),
+		refusals: refusallog.New(log, t.Scope(), time.Now),
+		turns:    turnqueue.New(), changed: make(chan struct{}),
 	}, nil
 }
 
@@ -85,11 +88,11 @@
 	mux.HandleFunc(TryAcquirePath, r.serveTry)
 	mux.HandleFunc(ReleasePath, r.serveRelease)
 	mux.HandleFunc(SuspicionPath, r.serveSuspicion)
-	reports, err := listener.New(listener.Options{Address: r.settings.ReporterAddress}, mux)
+	reports, err := listener.New(r.listenerOptions(r.settings.ReporterAddress), mux)
 	if err != nil {
 		return err
 	}
-	metrics, err := listener.New(listener.Options{Address: r.settings.MetricsAddress}, r.telemetry.MetricsHandler())
+	metrics, err := listener.New(r.listenerOptions(r.settings.MetricsAddress), r.telemetry.MetricsHandler())
 	if err != nil {
 		return errors.CombineErrors(err, shutdown(reports))
 	}
@@ -100,6 +103,10 @@
 	return errors.CombineErrors(shutdown(reports), shutdown(metrics))
 }
 
+func (r *Reporter) listenerOptions(address string) listener.Options {
+	return listener.Options{Address: address, OnRefusal: r.refusals.Record}.WithMemory(r.settings.MemoryBytes)
+}
+
 // shutdown closes the listener and its connections at once, because a stream of
 // reports does not end by itself.
 func shutdown(l *listener.Listener) error {
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
+	"github.com/flamingohold/flamingohold/internal/process/refusallog"
 	"github.com/flamingohold/flamingohold/internal/process/router/fleetview"
 	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/router/peers"
@@ -84,6 +85,7 @@
 	notice    atomic.Int64
 	log       *eventlog.Log
 	telemetry *telemetry.Telemetry
+	refusals  *refusallog.Log
 	clock     func() time.Time
 
 	pool      *upstreamclient.Pool
@@ -112,6 +114,7 @@
 		return nil, errors.New("setting caller, readiness or peer address is empty, but a router requires all three")
 	}
 	r := &Router{settings: s, log: log, telemetry: t, clock: time.Now, platform: p}
+	r.refusals = refusallog.New(log, t.Scope(), r.clock)
 	r.pool = upstreamclient.New(upstreamclient.Options{DialTimeout: dialTimeout}, r.clock)
 	r.directory = directory.New(log, r.coldRate)
 	r.view = fleetview.New(p.Decoder, r.directory, log, func(*routetable.Table) {})
@@ -256,8 +259,8 @@
 	mux.Handle(ratepermit.Path(), r.permits)
 	callers, err := listener.New(listener.Options{
 		Address: r.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, Limits: r.limits,
-		MaxConnections: max(1, r.settings.MaxDescriptors-reservedDescriptors), OnPanic: r.panicked,
-	}, r.forwarder(processCtx))
+		MaxConnections: max(1, r.settings.MaxDescriptors-reservedDescriptors), OnPanic: r.panicked, OnRefusal: r.refusals.Record,
+	}.WithMemory(r.settings.MemoryBytes), r.forwarder(processCtx))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -270,7 +273,8 @@
 		{r.settings.PeerAddress, mux},
 		{r.settings.MetricsAddress, r.telemetry.MetricsHandler()},
 	} {
-		l, err := listener.New(listener.Options{Address: o.address, OnPanic: r.panicked}, o.handler)
+		options := listener.Options{Address: o.address, OnPanic: r.panicked, OnRefusal: r.refusals.Record}
+		l, err := listener.New(options.WithMemory(r.settings.MemoryBytes), o.handler)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -60,6 +60,26 @@
 
 	// MaxBodyBytes limits the size of a request body in bytes, 0 for 8 MiB.
 	MaxBodyBytes int `json:"max_body_bytes,omitempty" help:"maximum size of a request body in bytes, 0 for 8 MiB"`
+	// MemoryMB is the memory that the process may use in MB, 0 if unknown. If it is
+	// known, the runtime collects garbage more often near it, and the defaults of
+	// MaxReceivedBytes and MaxUnsentBytes are a quarter and an eighth of it.
+	MemoryMB int `json:"memory_mb,omitempty" help:"memory that the process may use in MB, 0 if unknown"`
+	// MaxHeaderFields limits the fields of a request's header and trailer, 0 for 4,096.
+	MaxHeaderFields int `json:"max_header_fields,omitempty" help:"maximum number of fields of a request header and trailer, 0 for 4,096"`
+	// MaxHeaderLineBytes limits the request line and each field of a header, 0 for the
+	// limit of the header.
+	MaxHeaderLineBytes int `json:"max_header_line_bytes,omitempty" help:"maximum size of the request line and of each header field in bytes, 0 for that of the header"`
+	// MaxEmptyLines limits the empty lines before a request, 0 for 4.
+	MaxEmptyLines int `json:"max_empty_lines,omitempty" help:"maximum number of empty lines before a request, 0 for 4"`
+	// MaxPipelinedRequests limits the requests of a connection without a complete
+	// response, 0 for 32.
+	MaxPipelinedRequests int `json:"max_pipelined_requests,omitempty" help:"maximum number of requests of a connection without a complete response, 0 for 32"`
+	// MaxReceivedBytes limits the memory of all requests in progress of a listener, 0
+	// for a quarter of MemoryMB, or for 256 MiB if that is unknown.
+	MaxReceivedBytes int `json:"max_received_bytes,omitempty" help:"maximum memory in bytes of the requests in progress at an address, 0 for a quarter of memory_mb, or 256 MiB if that is 0"`
+	// MaxUnsentBytes limits the unsent responses of all connections of a listener, 0
+	// for an eighth of MemoryMB, or for 128 MiB if that is unknown.
+	MaxUnsentBytes int `json:"max_unsent_bytes,omitempty" help:"unsent bytes of the responses at an address above which responses wait for their callers, 0 for an eighth of memory_mb, or 128 MiB if that is 0"`
 	// MaxConnections limits the number of open connections, 0 for 20,000.
 	MaxConnections int `json:"max_connections,omitempty" help:"maximum number of open connections, 0 for 20,000"`
 	// IdleTimeoutMillis is the time in milliseconds after which a connection
@@ -109,6 +129,9 @@
 	return &changed
 }
 
+// MemoryBytes returns the memory that the process may use in bytes, 0 if unknown.
+func (s *Settings) MemoryBytes() int64 { return int64(s.MemoryMB) << 20 }
+
 // PeerSecret reads the bearer secret shared by gateways and sidecars.
 func (s *Settings) PeerSecret() (string, error) {
 	content, err := os.ReadFile(s.PeerSecretFile)
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/instancelist"
 	"github.com/flamingohold/flamingohold/internal/process/load"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
+	"github.com/flamingohold/flamingohold/internal/process/refusallog"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/request/tokenlog"
@@ -79,7 +80,9 @@
 }
 
 func (s *Sidecar) listen(address string, handler http.Handler) (*listener.Listener, error) {
-	return listener.New(listener.OptionsFromSettings(s.settings, address), handler)
+	o := listener.OptionsFromSettings(s.settings, address)
+	o.OnRefusal = refusallog.New(s.log, s.telemetry.Scope(), s.clock).Record
+	return listener.New(o, handler)
 }
 
 func (s *Sidecar) adminHandler() http.Handler {
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -53,11 +54,14 @@
 	OrderKey string `json:"order_key,omitempty"`
 }
 
+// typePrefix precedes the kind in a problem's type.
+const typePrefix = "urn:flamingohold:problem:"
+
 // New returns a problem with the given HTTP status, outcome and detail. The kind
 // is the last part of the problem's type, in snake case, such as "queue_full".
 func New(kind string, status int, outcome, detail string) Problem {
 	return Problem{
-		Type:    "urn:flamingohold:problem:" + kind,
+		Type:    typePrefix + kind,
 		Title:   http.StatusText(status),
 		Status:  status,
 		Detail:  detail,
@@ -88,6 +92,9 @@
 	return New(kind, status, OutcomeRejected, detail)
 }
 
+// Kind returns the last part of the problem's type, in snake case.
+func (p Problem) Kind() string { return strings.TrimPrefix(p.Type, typePrefix) }
+
 // WithLocation returns a copy with the step and the peer at which the error
 // arose.
 func (p Problem) WithLocation(step, peer string) Problem {
--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -48,6 +48,8 @@
 	idleTimeoutMillis int
 	// maxBodyBytes is the limit of a request body, 0 for the default.
 	maxBodyBytes int
+	// memoryMB is the memory of a gateway or sidecar in MB, 0 if unknown.
+	memoryMB int
 	// memoryTokens is the size of the engines' KV cache in tokens, 0 for the
 	// default.
 	memoryTokens int
@@ -354,7 +356,7 @@
 	}
 	s.PeerSecretFile = c.path("peer.secret")
 	s.IdleTimeoutMillis = c.options.idleTimeoutMillis
-	s.MaxBodyBytes = c.options.maxBodyBytes
+	s.MaxBodyBytes, s.MemoryMB = c.options.maxBodyBytes, c.options.memoryMB
 	s.TraceFile = c.path(s.Name + ".spans.jsonl")
 	file := c.path(s.Name + ".settings.json")
 	if err := writeJSON(file, s); err != nil {
--- a/scenarios/untrusted_test.go
+++ b/scenarios/untrusted_test.go
@@ -38,7 +38,7 @@
 		for _, caller := range untrustedcaller.Callers(target) {
 			t.Run(role.process+" "+caller.Name, func(t *testing.T) {
 				c := new(cluster)
-				c.initialise(t.TempDir(), clusterOptions{gateways: 1, plain: 1, plainDelay: "50ms", maxBodyBytes: untrustedBodyBytes})
+				c.initialise(t.TempDir(), clusterOptions{gateways: 1, plain: 1, plainDelay: "50ms", maxBodyBytes: untrustedBodyBytes, memoryMB: untrustedMemoryMB})
 				defer c.close()
 				defer saveLogs(t, c)
 				require.NoError(t, c.start())
