--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -56,6 +56,8 @@
 	// queued is the number of bytes that were passed to the library and are not
 	// sent yet.
 	queued atomic.Int64
+	// gone is true once the unsent bytes no longer count.
+	gone atomic.Bool
 	// sent is the total number of bytes sent.
 	sent atomic.Int64
 	// drained receives a value after bytes have been sent.
@@ -127,13 +129,27 @@
 	if status := c.takeStatus(); status != 0 {
 		data = withStatus(data, status)
 	}
-	c.queued.Add(int64(len(data)))
+	c.addQueued(int64(len(data)))
 	if _, err := c.Conn.Write(data); err != nil {
+		c.addQueued(int64(-len(data)))
+		if c.gone.Load() {
+			c.settleQueued()
+		}
 		return 0, err
 	}
 	return size, nil
 }
 
+// addQueued adds n to the unsent bytes. If a write fails after a part of it was sent,
+// queued is negative until settleQueued.
+func (c *connection) addQueued(n int64) {
+	c.queued.Add(n)
+	c.listener.unsent.Add(n)
+}
+
+// settleQueued makes the unsent bytes of a closed connection zero.
+func (c *connection) settleQueued() { c.listener.unsent.Add(-c.queued.Swap(0)) }
+
 // SetStatus implements stream.Connection.
 func (c *connection) SetStatus(status int) {
 	c.mu.Lock()
@@ -166,7 +182,7 @@
 		return
 	}
 	c.sent.Add(int64(n))
-	c.queued.Add(int64(-n))
+	c.addQueued(int64(-n))
 	select {
 	case c.drained <- struct{}{}:
 	default:
@@ -253,8 +269,10 @@
 	return total <= limit || (c.held <= modestBytes && total <= limit+limit/modestReserve)
 }
 
-// release ends the accounting of the connection's requests.
+// release ends the accounting of the closed connection's requests and responses.
 func (c *connection) release() {
+	c.gone.Store(true)
+	c.settleQueued()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.released {
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -232,7 +232,7 @@
 	sweeper sync.WaitGroup
 	// received is the memory of the requests of all connections.
 	received atomic.Int64
-	// unsent is the number of unsent bytes of all connections at the last sweep.
+	// unsent is the number of unsent bytes of all connections.
 	unsent atomic.Int64
 
 	mu sync.Mutex
@@ -576,14 +576,11 @@
 	idleTimeout := l.options.limits().IdleTimeout
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unsent := int64(0)
 	for c := range l.busy {
-		unsent += c.queued.Load()
 		if !c.inspect(now, idleTimeout) {
 			delete(l.busy, c)
 		}
 	}
-	l.unsent.Store(unsent)
 }
 
 func (l *Listener) sweepOpen(now time.Time) {
