--- a/internal/connection/listener/doc.go
+++ b/internal/connection/listener/doc.go
@@ -13,5 +13,7 @@
 // the first of several Content-Length fields, so the listener refuses these
 // requests. The library's poller applies an event of a closed connection to a new
 // one with the same file descriptor, so each new connection waits until the poller
-// has handled the events that it has read.
+// has handled the events that it has read. The library's parser buffers unfinished
+// lines up to the limit of a body and reads any number of requests ahead of their
+// responses, so the listener counts and refuses them first (package bytemeter).
 package listener
