Reserve room for long outputs where engines are uneven

Long outputs of all routers went to the same few fast engines, which preempted generations, and engines whose pace nobody has measured counted as fast. They count as the median now, and where half of the engines are slow, long outputs go to the first of up to six engines that grants a reservation.

--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -15,8 +15,8 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
-	"github.com/flamingohold/flamingohold/internal/process/reporter/pace"
 	"github.com/flamingohold/flamingohold/internal/process/refusallog"
+	"github.com/flamingohold/flamingohold/internal/process/reporter/pace"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 	"github.com/flamingohold/flamingohold/internal/process/turnqueue"
 )
--- a/internal/process/router/relocation/relocation.go
+++ b/internal/process/router/relocation/relocation.go
@@ -238,7 +238,7 @@
 	request := selection.Request{
 		DataCentre: source.DataCentre, Tokens: r.tokens(engine.EventTokens), MemoryTokens: engine.MemoryTokens,
 		Exclude: maps.Clone(excluded), RemotePenalty: moveRemotePenalty, MaxEventGap: r.maxEventGap,
-		OutputEvents: r.remainingEvents(engine.EventTokens), ReferenceEventTime: selection.ReferenceEventTime(views),
+		OutputEvents: r.remainingEvents(engine.EventTokens), EventTimes: selection.EventTimesOf(views),
 	}
 	views = withRoom(views, request)
 	for range maxTargetProbes {
--- a/internal/process/router/selection/pace.go
+++ b/internal/process/router/selection/pace.go
@@ -36,9 +36,20 @@
 	stackEventTimes = 256
 )
 
-// ReferenceEventTime returns the event time that the fastest eighth of the upstreams
-// do not exceed, of those whose event time is known, and 0 if none is.
-func ReferenceEventTime(views []directory.View) time.Duration {
+// EventTimes summarises the known event times of a service's upstreams.
+type EventTimes struct {
+	// Reference is the event time that the fastest eighth of the upstreams do not
+	// exceed, and Median that which half of them do not. Both are 0 if none is known.
+	Reference, Median time.Duration
+}
+
+// AreUneven reports whether half of the upstreams are slow in relation to the fastest.
+func (e EventTimes) AreUneven() bool {
+	return e.Reference > 0 && float64(e.Median) > slowRatio*float64(e.Reference)
+}
+
+// EventTimesOf returns the summary of the views.
+func EventTimesOf(views []directory.View) EventTimes {
 	var buffer [stackEventTimes]time.Duration
 	known := buffer[:0]
 	if len(views) > len(buffer) {
@@ -50,12 +61,16 @@
 		}
 	}
 	if len(known) == 0 {
-		return 0
+		return EventTimes{}
 	}
 	slices.Sort(known)
-	return known[(len(known)-1)/referenceShare]
+	return EventTimes{Reference: known[(len(known)-1)/referenceShare], Median: known[(len(known)-1)/2]}
 }
 
+// IsLong reports whether the output of the request is expected to be long enough to meet
+// slow events.
+func IsLong(r Request) bool { return r.OutputEvents >= minPacedEvents }
+
 // KeepsGap reports whether the upstream is predicted to keep the gap: its event time
 // multiplied by gapMultiple is not above it.
 func KeepsGap(v *directory.View, gap time.Duration) bool {
@@ -63,17 +78,21 @@
 }
 
 // pacePenalty returns the part of the score that depends on the pace of the upstream.
-// It is 0 if the request has no MaxEventGap or if the event time of the upstream is
-// unknown or the reference.
-func pacePenalty(v *directory.View, r Request, reference time.Duration) float64 {
-	if r.MaxEventGap <= 0 || v.EventTime <= 0 || reference <= 0 {
+// An upstream whose event time is unknown counts as one with the median. The penalty is
+// 0 if the request has no MaxEventGap or if the event time is the reference.
+func pacePenalty(v *directory.View, r Request, known EventTimes) float64 {
+	if r.MaxEventGap <= 0 || known.Reference <= 0 {
 		return 0
 	}
-	ratio := float64(v.EventTime) / float64(reference)
-	if r.OutputEvents < minPacedEvents {
+	eventTime := v.EventTime
+	if eventTime <= 0 {
+		eventTime = known.Median
+	}
+	ratio := float64(eventTime) / float64(known.Reference)
+	if !IsLong(r) {
 		return waitingPenalty(v, ratio)
 	}
-	return slowEnginePenalty(v, r, ratio)
+	return slowEnginePenalty(eventTime, r, ratio)
 }
 
 // waitingPenalty returns the load of the waiting prompts that is due to the pace of
@@ -86,11 +105,11 @@
 // slowEnginePenalty returns the penalty for an upstream whose ratio to the
 // reference exceeds slowRatio. It grows with the sixth power of the share of the gap,
 // since an engine far below it is hardly a risk, and with that ratio.
-func slowEnginePenalty(v *directory.View, r Request, ratio float64) float64 {
+func slowEnginePenalty(eventTime time.Duration, r Request, ratio float64) float64 {
 	if ratio <= slowRatio {
 		return 0
 	}
-	share := gapMultiple * float64(v.EventTime) / float64(r.MaxEventGap)
+	share := gapMultiple * float64(eventTime) / float64(r.MaxEventGap)
 	cube := share * share * share
 	return min(maxSlowPenalty, slowPenalty*cube*cube*ratio/slowRatio)
 }
--- a/internal/process/router/selection/selection.go
+++ b/internal/process/router/selection/selection.go
@@ -56,9 +56,9 @@
 	// OutputEvents is the number of events that the request is expected to produce
 	// from now on, 0 if unknown. Unknown outputs count as short.
 	OutputEvents int
-	// ReferenceEventTime is that of the service's upstreams. If it is 0, that of the
-	// views is used.
-	ReferenceEventTime time.Duration
+	// EventTimes summarises the event times of the service's upstreams. The zero value
+	// selects those of the views.
+	EventTimes EventTimes
 }
 
 // Choose returns the upstream with the lowest score, and false if there is none
@@ -95,9 +95,9 @@
 	// load.
 	reportedCount int
 	meanLoad      float64
-	// referenceEventTime is the event time of the fastest upstreams, 0 if unknown or if
-	// the request does not depend on it.
-	referenceEventTime time.Duration
+	// eventTimes summarises the event times of the upstreams. It is zero if the request
+	// does not depend on them.
+	eventTimes EventTimes
 }
 
 func summarise(views []directory.View, r Request) serviceSummary {
@@ -115,8 +115,8 @@
 	if o.reportedCount > 0 {
 		o.meanLoad /= float64(o.reportedCount)
 	}
-	if o.referenceEventTime = r.ReferenceEventTime; r.MaxEventGap > 0 && o.referenceEventTime <= 0 {
-		o.referenceEventTime = ReferenceEventTime(views)
+	if o.eventTimes = r.EventTimes; r.MaxEventGap > 0 && o.eventTimes.Reference <= 0 {
+		o.eventTimes = EventTimesOf(views)
 	}
 	return o
 }
@@ -151,7 +151,7 @@
 	if v.Cold {
 		s += coldPenalty
 	}
-	return s + pacePenalty(v, r, o.referenceEventTime)
+	return s + pacePenalty(v, r, o.eventTimes)
 }
 
 // Load returns the load of the upstream: the share of its concurrency limit or of
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -81,6 +81,10 @@
 		if ok || c.rejection != nil || ctx.Err() != nil {
 			return v, done, ok
 		}
+		return c.chooseByScore(ctx)
+	}
+	if v, done, result := c.reserveByPace(ctx); result == roomGranted {
+		return v, done, true
 	}
 	return c.chooseByScore(ctx)
 }
@@ -111,7 +115,7 @@
 		MaxEventGap: c.route.MaxEventGap, OutputEvents: c.outputEvents(),
 	}
 	if request.MaxEventGap > 0 {
-		request.ReferenceEventTime = selection.ReferenceEventTime(views)
+		request.EventTimes = selection.EventTimesOf(views)
 	}
 	return views, request
 }
@@ -139,7 +143,7 @@
 		Int("calls", v.Calls).Float64("failure_rate", v.FailureRate).Bool("cold", v.Cold).
 		Dur("time_left", c.deadline.Sub(c.Clock()))
 	if r.MaxEventGap > 0 {
-		line = line.Dur("event_time", v.EventTime).Dur("reference_event_time", r.ReferenceEventTime).
+		line = line.Dur("event_time", v.EventTime).Dur("reference_event_time", r.EventTimes.Reference).
 			Dur("max_event_gap", r.MaxEventGap).Int("output_events", r.OutputEvents)
 	}
 	line.Send()
--- a/internal/request/forwarding/gap_test.go
+++ b/internal/request/forwarding/gap_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
 	"github.com/flamingohold/flamingohold/internal/version/routetable"
 )
 
@@ -62,6 +63,46 @@
 	}
 }
 
+// Guards against long outputs of all routers that fill the same fast engine, against
+// reservations for short ones or where all engines are as fast, and against a request that
+// is not sent because every engine refuses.
+func TestLongStreamsReserveRoomWhereEnginesAreUneven(t *testing.T) {
+	for _, c := range []struct {
+		name, sizes string
+		slow        time.Duration
+		full        map[string]bool
+		asked       []string
+		upstream    string
+	}{
+		{"a full fast engine", "100,40", 70 * time.Millisecond, map[string]bool{"u-2": true}, []string{"u-2", "u-1"}, "u-1"},
+		{"all are full", "100,40", 70 * time.Millisecond, map[string]bool{"u-1": true, "u-2": true}, []string{"u-2", "u-1"}, "u-2"},
+		{"a short output", "100,8", 70 * time.Millisecond, map[string]bool{"u-1": true}, nil, "u-1"},
+		{"equal engines", "100,40", 25 * time.Millisecond, map[string]bool{"u-1": true}, nil, "u-1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, _ := newPacedHarness(t)
+			h.directory.ObserveReport("u-1", directory.Report{Incarnation: 1, MemoryTotal: 30_000, EventTime: c.slow}, time.Now())
+			// The median of two is the lower one, so a third engine makes most of them slow.
+			h.directory.Upsert(directory.Entry{ID: "u-3", Service: "desk", Address: "127.0.0.1:1", DataCentre: "dc-9", ConcurrencyLimit: 8, Incarnation: 1}, time.Now())
+			h.directory.ObserveReport("u-3", directory.Report{Incarnation: 1, MemoryTotal: 30_000, MemoryUsed: 30_000, EventTime: c.slow}, time.Now())
+			reservations := &scriptedReservations{}
+			var asked []string
+			reservations.decide = func(v directory.View, _ reservation.Request) reservation.Decision {
+				asked = append(asked, v.ID)
+				return reservation.Decision{Granted: !c.full[v.ID], Reason: "memory"}
+			}
+			h.forwarder.Reservations = reservations
+			r := h.request(http.MethodPost, "/draft/x", "prompt")
+			r.Header.Set(testNames.TokenCounts, c.sizes)
+			response := h.do(r)
+			_, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, c.asked, asked)
+			require.Equal(t, c.upstream, strings.TrimPrefix(response.Header.Get(testNames.Seal), "seal-of-"))
+		})
+	}
+}
+
 // Guards against a prediction that holds an engine of unknown pace for a fast one.
 func TestPredictGap(t *testing.T) {
 	for eventTime, want := range map[time.Duration]gapPrediction{
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -21,6 +21,10 @@
 // Each call delays the request by a round trip.
 const maxReservationsAsked = 3
 
+// maxUnevenAsked is maxReservationsAsked where the engines are uneven: the fast ones are
+// asked first, and one that is slow must still be reached.
+const maxUnevenAsked = 6
+
 // tablePolicy is the dispatch policy of a route table.
 type tablePolicy struct {
 	table  *routetable.Table
@@ -109,6 +113,9 @@
 	headroom float64
 	// skipFull is true if engines whose report shows no room are not asked.
 	skipFull bool
+	// engines is the largest number of engines that are asked, 0 for
+	// maxReservationsAsked.
+	engines int
 	// until is when no further engine is asked, zero for no limit.
 	until time.Time
 }
@@ -141,7 +148,7 @@
 	if s.skipFull {
 		c.blockFull(views, request, s.headroom)
 	}
-	for range maxReservationsAsked {
+	for range max(maxReservationsAsked, s.engines) {
 		if s.ended(ctx, c.Clock()) || !selection.HasCandidate(views, request) {
 			break
 		}
@@ -155,13 +162,36 @@
 	return directory.View{}, nil, roomRefused
 }
 
+// reserveByPace chooses an upstream that grants a reservation to a long output at a
+// service whose engines are uneven. All routers prefer the same few fast engines there,
+// and would together preempt generations. The result is not roomGranted if the request
+// needs no reservation or if none was granted.
+func (c *call) reserveByPace(ctx context.Context) (directory.View, func(), roomResult) {
+	if c.Reservations == nil || c.route.MaxEventGap <= 0 || c.mayHaveRun {
+		return directory.View{}, nil, roomRefused
+	}
+	if _, request := c.candidates(); !selection.IsLong(request) || !request.EventTimes.AreUneven() {
+		return directory.View{}, nil, roomRefused
+	}
+	return c.reserve(ctx, roomSearch{engines: maxUnevenAsked, skipFull: true})
+}
+
+// promptTokens returns the size of the prompt for which room is needed, in tokens: the one
+// that the policy assumes, or the stated one where the policy is not enabled.
+func (c *call) promptTokens() int {
+	if c.dispatch.Enabled {
+		return c.dispatch.PromptTokens
+	}
+	return c.sizes.Prompt
+}
+
 // blockFull blocks the upstreams whose report shows no room for the request and the
 // headroom.
 func (c *call) blockFull(views []directory.View, r selection.Request, headroom float64) {
 	for i := range views {
 		v := &views[i]
 		needed := r
-		needed.Tokens = c.dispatch.PromptTokens + int(headroom*float64(max(v.MemoryTotal, r.MemoryTokens)))
+		needed.Tokens = c.promptTokens() + int(headroom*float64(max(v.MemoryTotal, r.MemoryTokens)))
 		if !selection.HasRoom(v, needed) {
 			v.Blocked = true
 		}
@@ -178,7 +208,7 @@
 		s.id = strconv.FormatUint(rand.Uint64(), 36)
 	}
 	s.last = c.Reservations.Reserve(ctx, v, reservation.Request{
-		ID: s.id, Priority: c.dispatch.Priority, PromptTokens: c.dispatch.PromptTokens, OutputTokens: c.sizes.Output, Headroom: headroom,
+		ID: s.id, Priority: c.dispatch.Priority, PromptTokens: c.promptTokens(), OutputTokens: c.sizes.Output, Headroom: headroom,
 	})
 	s.asked++
 	c.Metrics.reservation(s.String())
