--- a/internal/process/router/dispatch/dispatch.go
+++ b/internal/process/router/dispatch/dispatch.go
@@ -12,11 +12,12 @@
 	// request that can wait. It is enough for one urgent prompt, or for one run that
 	// moves to the engine.
 	DefaultHeadroom = 0.12
-	// maxPriority is the priority of the least urgent requests, and the highest rank
-	// that engines know.
+	// maxPriority is the priority of the least urgent requests.
 	maxPriority = 9
-	// defaultRank is the rank that engines assume for a request without one.
+	// defaultRank is the rank of a request at engines, which they also assume without
+	// one, and lateRank that of a late one.
 	defaultRank = 5
+	lateRank    = 6
 	// minTargetExcess is how much longer the latency target of a route that can wait
 	// is than that of the most urgent route. Less leaves no time to wait after the
 	// prompt's own.
@@ -112,8 +113,6 @@
 	Enabled bool
 	// Priority is the priority of the request, from 0 for the most urgent to 9.
 	Priority int
-	// rank is the rank of the request at engines while it is not late.
-	rank int
 	// CanWait is true if the request may wait at the router until SendBy.
 	CanWait bool
 	SendBy  time.Time
@@ -136,15 +135,12 @@
 	if !enabled {
 		return Decision{}
 	}
-	d := Decision{Enabled: true, rank: defaultRank}
+	d := Decision{Enabled: true}
 	configured := r.Route.Priority
 	if r.AccountPriority != nil {
 		configured = *r.AccountPriority
 	}
 	d.Priority, d.InvalidPriority = clamp(configured)
-	if r.AccountPriority != nil {
-		d.rank = d.Priority
-	}
 	d.PromptTokens, d.InvalidSize = plausibleSize(r.PromptTokens, r.Service.Engine.MemoryTokens)
 	d.PromptTime = time.Duration(d.PromptTokens) * time.Millisecond / promptTokensPerMillisecond
 	// A request is not refused for a size that is only assumed.
@@ -179,13 +175,13 @@
 	return a
 }
 
-// Rank returns the rank that an engine gets with the request: the priority of the
-// account, and one less urgent once the request is late. The priority of the route is
-// not passed on: an engine whose memory is full preempts running generations for a more
-// urgent request, and what it has to process again costs callers more than the wait.
+// Rank returns the rank that an engine gets with the request. It is less urgent for a late
+// request and does not depend on the priority: an engine whose memory is full preempts
+// running generations for a more urgent request, and what it has to process again costs
+// callers more than the wait.
 func (d Decision) Rank(now time.Time) int {
 	if d.Target.IsZero() || !now.After(d.Target) {
-		return d.rank
+		return defaultRank
 	}
-	return min(maxPriority, d.rank+1)
+	return lateRank
 }
