Count the work of a run at most as far as reports have risen

A reservation that ended because its run is listed used up a request and its prompt of the rises, also where the end of another run had hidden its rise. The values used up then exceeded the rises for the rest of the engine's life, so that each later prompt counted twice until its first event. The rise of a listed run cannot follow, so that the values used up end at the present ones. The test fails before the change.

--- a/internal/process/reservation/reservations.go
+++ b/internal/process/reservation/reservations.go
@@ -192,7 +192,9 @@
 			kept = append(kept, o)
 			continue
 		}
-		s.usedArrivals, s.usedRise = arrivals, rise
+		// A run whose rise was not seen is listed now, so that its rise cannot follow.
+		// Beyond the present values, it would be taken from that of a later request.
+		s.usedArrivals, s.usedRise = min(arrivals, s.arrivals), min(rise, s.rise)
 		s.reserved -= o.prompt
 		s.shown++
 	}
--- a/internal/process/reservation/reservations_test.go
+++ b/internal/process/reservation/reservations_test.go
@@ -154,6 +154,25 @@
 	require.Zero(t, s.State(at(215)).Open)
 }
 
+// Guards against prompts that count twice until their first event, for the rest of an
+// engine's life, because the rise of one run was hidden by the end of another: the rise
+// of each later request would then be taken for that of the request before.
+func TestHiddenRiseOfOneRunDoesNotDelayLaterReservations(t *testing.T) {
+	s := New()
+	s.Observe(engineReport(1, 3000), at(0))
+	require.True(t, s.Reserve(request("a", 3000, 0), at(1)).Granted)
+	// A run ends, and the prompt of a arrives between the same two reports.
+	listed := engineReport(1, 3000)
+	listed.Runs = []directory.Run{{ID: "a", MemoryTokens: 3000, Events: 1}}
+	s.Observe(listed, at(200))
+	require.Zero(t, s.State(at(200)).Open)
+	require.True(t, s.Reserve(request("b", 3000, 0), at(201)).Granted)
+	arrived := engineReport(1, 6000)
+	arrived.Waiting, arrived.Runs = 1, listed.Runs
+	s.Observe(arrived, at(400))
+	require.Zero(t, s.State(at(400)).Open)
+}
+
 // Guards against room that stays reserved after its work has appeared, was released or
 // never arrives, and against a report of earlier work that ends a reservation.
 func TestReservationsEnd(t *testing.T) {
