Bound the size of a prompt where the memory of engines is unknown

Where the memory of engines is not configured, the time of a prompt of more than 9.2e12 stated tokens overflowed, and the wait of the request ended years after its target instead of before it: the deadline ended it without a send. A negative memory gave a negative size. The test fails before the change.

--- a/internal/process/router/dispatch/dispatch.go
+++ b/internal/process/router/dispatch/dispatch.go
@@ -21,6 +21,9 @@
 	// is than that of the most urgent route. Less leaves no time to wait after the
 	// prompt's own.
 	minTargetExcess = time.Second
+	// maxPromptTokens bounds the size of a prompt also where the memory of the engines is
+	// unknown or implausible, so that the time of the prompt cannot overflow.
+	maxPromptTokens = 1 << 31
 	// promptTokensPerMillisecond is the assumed rate at which an engine processes
 	// prompts while it also generates.
 	promptTokensPerMillisecond = 7
@@ -159,14 +162,20 @@
 }
 
 // plausibleSize returns the size of a prompt for an engine with the memory, both in
-// tokens, and whether the stated size is missing or exceeds the memory. A missing size
-// is assumed to be that of a prompt for which DefaultHeadroom is enough.
+// tokens, and whether the stated size is missing or exceeds the memory, or
+// maxPromptTokens if the memory is unknown. A missing size is assumed to be that of a
+// prompt for which DefaultHeadroom is enough.
 func plausibleSize(stated, memory int) (tokens int, invalid bool) {
+	memory = min(max(0, memory), maxPromptTokens)
+	limit := memory
+	if memory == 0 {
+		limit = maxPromptTokens
+	}
 	switch {
 	case stated <= 0:
 		return int(DefaultHeadroom * float64(memory)), true
-	case memory > 0 && stated > memory:
-		return memory, true
+	case stated > limit:
+		return limit, true
 	default:
 		return stated, false
 	}
--- a/internal/process/router/dispatch/dispatch_test.go
+++ b/internal/process/router/dispatch/dispatch_test.go
@@ -111,6 +111,22 @@
 	require.Equal(t, decide(routes, 0, nil, 26_864).SendBy, huge.SendBy)
 }
 
+// Guards against a request that waits until its deadline: where the memory of engines is
+// not configured, the time of a prompt of any stated size is subtracted from the target,
+// and an overflow would be added to it.
+func TestWaitEndsBeforeTheTargetForAnySizeAndMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		memory, prompt := rapid.Int().Draw(t, "memory"), rapid.Int().Draw(t, "prompt")
+		routes := routetable.New(routetable.TableContent{
+			Routes:   []route.Route{stream(2, 4*time.Second), stream(0, 1500*time.Millisecond)},
+			Services: []routetable.Service{{Name: "lm", Engine: &routetable.Engine{MemoryTokens: memory}}},
+		})
+		d := decide(routes, 0, nil, prompt)
+		require.GreaterOrEqual(t, d.PromptTime, time.Duration(0))
+		require.False(t, d.SendBy.After(d.Target))
+	})
+}
+
 // Guards against a request that is sent although it cannot be answered, against one that
 // is refused although it can, and against a wait beyond the caller's deadline.
 func TestDeadlineMustLeaveTheTimeOfThePrompt(t *testing.T) {
