Reserve room for requests whose identifier reporters refuse

Reporters answer a reservation with an identifier of more than 256 bytes with status 400, which counts as granted and unconfirmed: a caller with such an identifier passed the queue and every full engine. The router uses a random one, as for requests without an identifier. The test fails before the change.

--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -202,10 +202,7 @@
 func (c *call) reserveAt(ctx context.Context, v directory.View, headroom float64) bool {
 	s := &c.reservation
 	if s.id == "" {
-		s.id = c.id
-	}
-	if s.id == "" {
-		s.id = strconv.FormatUint(rand.Uint64(), 36)
+		s.id = c.reservationID()
 	}
 	s.last = c.Reservations.Reserve(ctx, v, reservation.Request{
 		ID: s.id, Priority: c.dispatch.Priority, PromptTokens: c.promptTokens(), OutputTokens: c.sizes.Output, Headroom: headroom,
@@ -223,6 +220,15 @@
 	return false
 }
 
+// reservationID returns the identifier of the request if reporters accept it, else a
+// random one.
+func (c *call) reservationID() string {
+	if (reservation.Request{ID: c.id}).HasValidID() {
+		return c.id
+	}
+	return strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // releaseReservation releases the reservation at the upstream, if there is one. The
 // reporter may hold one that was not confirmed.
 func (c *call) releaseReservation(v directory.View) {
--- a/internal/request/forwarding/waiting_test.go
+++ b/internal/request/forwarding/waiting_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -392,6 +393,20 @@
 	require.Zero(t, h.queued())
 }
 
+// Guards against callers that pass a full engine by an identifier which reporters refuse:
+// such a request would be granted unconfirmed.
+func TestRequestWithUnusableIDReservesRoom(t *testing.T) {
+	for name, id := range map[string]string{"none": "", "too long": strings.Repeat("a", 257)} {
+		t.Run(name, func(t *testing.T) {
+			h, reservations := newCompetingHarness(t, grant, recordRanks(make(chan string, 1)))
+			require.Equal(t, http.StatusOK, <-h.start(h.promptRequest("/draft/x", id, testKey)))
+			asked, _ := reservations.recorded()
+			require.Len(t, asked, 1)
+			require.True(t, asked[0].HasValidID())
+		})
+	}
+}
+
 // BenchmarkSearchForRoom measures a search in which all engines refuse.
 func BenchmarkSearchForRoom(b *testing.B) {
 	for _, engines := range []int{64, 1400} {
