Do not ask engines for room that refused a permit to a waiting request

An engine with room whose stated limit was used up granted a reservation in each search of a waiting request; the permit was refused, and the reservation released. Searches leave such engines out for the time that the refusal states. The test fails before the change.

--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -162,6 +162,9 @@
 	sendableIn time.Duration
 	// paused is the number of upstreams that have asked for a pause.
 	paused int
+	// admitsAt holds when upstreams that refused the request for a limit or a pause may
+	// admit it, nil if there is none.
+	admitsAt map[string]time.Time
 	// dispatch is how the request is dispatched, rank the rank that its upstream gets.
 	dispatch dispatch.Decision
 	rank     int
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -145,6 +145,7 @@
 		return directory.View{}, nil, noCandidate
 	}
 	request.Exclude = maps.Clone(c.tried)
+	c.blockWithoutPermit(views)
 	if s.skipFull {
 		c.blockFull(views, request, s.headroom)
 	}
@@ -198,6 +199,20 @@
 	}
 }
 
+// blockWithoutPermit blocks the upstreams that refused the request for a limit or a pause
+// which has not ended. A reservation there could not be used.
+func (c *call) blockWithoutPermit(views []directory.View) {
+	if len(c.admitsAt) == 0 {
+		return
+	}
+	now := c.Clock()
+	for i := range views {
+		if now.Before(c.admitsAt[views[i].ID]) {
+			views[i].Blocked = true
+		}
+	}
+}
+
 // reserveAt reports whether the upstream grants a reservation and may get the request.
 func (c *call) reserveAt(ctx context.Context, v directory.View, headroom float64) bool {
 	s := &c.reservation
--- a/internal/request/forwarding/restriction.go
+++ b/internal/request/forwarding/restriction.go
@@ -109,12 +109,24 @@
 		return true
 	}
 	c.noteSendableIn(d.RetryIn)
+	c.noteAdmitsIn(v, d.RetryIn)
 	c.Log.Emit(eventlog.PermitRefused).Str("request_id", c.id).Str("upstream", v.ID).Str("reason", string(d.Reason)).
 		Float64("per_second", d.Limit.PerSecond).Uint64("limit_version", d.Limit.Version).Dur("max_wait", d.MaxWait).
 		Dur("retry_in", d.RetryIn).Send()
 	return false
 }
 
+// noteAdmitsIn records that the upstream may admit the request after the given time.
+func (c *call) noteAdmitsIn(v directory.View, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	if c.admitsAt == nil {
+		c.admitsAt = make(map[string]time.Time)
+	}
+	c.admitsAt[v.ID] = c.Clock().Add(after)
+}
+
 // incarnation identifies the incarnation of the upstream.
 func incarnation(v directory.View) statedlimit.Upstream {
 	return statedlimit.Upstream{ID: v.ID, Incarnation: v.Incarnation}
--- a/internal/request/forwarding/waiting_test.go
+++ b/internal/request/forwarding/waiting_test.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
@@ -407,6 +409,43 @@
 	}
 }
 
+// limitedGate refuses all permits for a minute.
+type limitedGate struct{ openGate }
+
+func (limitedGate) Acquire(context.Context, directory.View, func() time.Duration) sendgate.Decision {
+	return sendgate.Decision{Reason: sendgate.LimitUsedUp, RetryIn: time.Minute}
+}
+
+// refusalCounter is a log that counts the lines about refused permits.
+type refusalCounter struct{ atomic.Int64 }
+
+// Write implements io.Writer.
+func (c *refusalCounter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(eventlog.PermitRefused.Name)) {
+		c.Add(1)
+	}
+	return len(line), nil
+}
+
+// Guards against a waiting request that reserves and releases room, and writes log lines,
+// 20 to 50 times a second at an engine whose stated limit is used up.
+func TestWaitingRequestDoesNotAskEnginesWithoutPermit(t *testing.T) {
+	h, reservations := newCompetingHarness(t, grant, recordRanks(make(chan string, 1)))
+	h.forwarder.Gate = limitedGate{}
+	var refusals refusalCounter
+	h.forwarder.Log = eventlog.New(&refusals, zerolog.InfoLevel, "router")
+	request := h.promptRequest("/draft/x", "a", testKey)
+	request.Header.Set(testNames.Deadline, "1300")
+	response := h.do(request)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), "upstream_limits")
+	asked, released := reservations.recorded()
+	require.Len(t, asked, 1)
+	require.Equal(t, []string{"u-1 a"}, released)
+	require.LessOrEqual(t, refusals.Load(), int64(2), "one of the wait and one of the last choice")
+}
+
 // BenchmarkSearchForRoom measures a search in which all engines refuse.
 func BenchmarkSearchForRoom(b *testing.B) {
 	for _, engines := range []int{64, 1400} {
