Collect the candidates for the choice by pace once

Each request of a route with a bound on gaps collected the views and event times of its service twice before it was sent, also at plain services and for short outputs, and three times where engines are uneven and all refused. It does so once now, and twice in the last case. Decisions are the same.

--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -83,7 +83,11 @@
 		}
 		return c.chooseByScore(ctx)
 	}
-	if v, done, result := c.reserveByPace(ctx); result == roomGranted {
+	views, request := c.candidates()
+	if !c.reservesByPace(request) {
+		return c.chooseAmong(ctx, views, request)
+	}
+	if v, done, result := c.reserveAmong(ctx, views, request, roomSearch{engines: maxUnevenAsked, skipFull: true}); result == roomGranted {
 		return v, done, true
 	}
 	return c.chooseByScore(ctx)
@@ -92,6 +96,11 @@
 // chooseByScore chooses the upstream with the lowest score that may get the request.
 func (c *call) chooseByScore(ctx context.Context) (v directory.View, done func(), ok bool) {
 	views, request := c.candidates()
+	return c.chooseAmong(ctx, views, request)
+}
+
+// chooseAmong is chooseByScore among the candidates.
+func (c *call) chooseAmong(ctx context.Context, views []directory.View, request selection.Request) (v directory.View, done func(), ok bool) {
 	for range views {
 		v, ok := selection.Choose(views, request, rand.Float64)
 		if !ok {
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -141,6 +141,11 @@
 // first that grants one.
 func (c *call) reserve(ctx context.Context, s roomSearch) (directory.View, func(), roomResult) {
 	views, request := c.candidates()
+	return c.reserveAmong(ctx, views, request, s)
+}
+
+// reserveAmong is reserve among the candidates. It changes them.
+func (c *call) reserveAmong(ctx context.Context, views []directory.View, request selection.Request, s roomSearch) (directory.View, func(), roomResult) {
 	if !selection.HasCandidate(views, request) {
 		return directory.View{}, nil, noCandidate
 	}
@@ -163,18 +168,11 @@
 	return directory.View{}, nil, roomRefused
 }
 
-// reserveByPace chooses an upstream that grants a reservation to a long output at a
-// service whose engines are uneven. All routers prefer the same few fast engines there,
-// and would together preempt generations. The result is not roomGranted if the request
-// needs no reservation or if none was granted.
-func (c *call) reserveByPace(ctx context.Context) (directory.View, func(), roomResult) {
-	if c.Reservations == nil || c.route.MaxEventGap <= 0 || c.mayHaveRun {
-		return directory.View{}, nil, roomRefused
-	}
-	if _, request := c.candidates(); !selection.IsLong(request) || !request.EventTimes.AreUneven() {
-		return directory.View{}, nil, roomRefused
-	}
-	return c.reserve(ctx, roomSearch{engines: maxUnevenAsked, skipFull: true})
+// reservesByPace reports whether the request reserves room although its service has no
+// dispatch policy: it has a long output, and the engines are uneven. All routers prefer
+// the same few fast engines there, and would together preempt generations.
+func (c *call) reservesByPace(r selection.Request) bool {
+	return c.Reservations != nil && r.MaxEventGap > 0 && !c.mayHaveRun && selection.IsLong(r) && r.EventTimes.AreUneven()
 }
 
 // promptTokens returns the size of the prompt for which room is needed, in tokens: the one
