End a request whose caller left while it asked for room by pace

A caller that disconnects during the up to six calls to reporters of a long output left its request to the choice by score, and the send with the ended context failed as unsent: a healthy engine without an idle connection counted as unreachable, and one with an idle connection could get the request. The test fails before the change.

--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -87,8 +87,9 @@
 	if !c.reservesByPace(request) {
 		return c.chooseAmong(ctx, views, request)
 	}
-	if v, done, result := c.reserveAmong(ctx, views, request, roomSearch{engines: maxUnevenAsked, skipFull: true}); result == roomGranted {
-		return v, done, true
+	v, done, result := c.reserveAmong(ctx, views, request, roomSearch{engines: maxUnevenAsked, skipFull: true})
+	if result == roomGranted || ctx.Err() != nil {
+		return v, done, result == roomGranted
 	}
 	return c.chooseByScore(ctx)
 }
--- a/internal/request/forwarding/gap_test.go
+++ b/internal/request/forwarding/gap_test.go
@@ -1,8 +1,10 @@
 package forwarding
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -103,6 +105,27 @@
 	}
 }
 
+// Guards against an engine that counts as unreachable because a caller disconnected while
+// its request asked for room: the dial would fail with the caller's context.
+func TestCallerThatLeavesWhileRoomIsAskedSaysNothingOfEngines(t *testing.T) {
+	h, _ := newPacedHarness(t)
+	h.directory.Upsert(directory.Entry{ID: "u-3", Service: "desk", Address: "127.0.0.1:1", DataCentre: "dc-9", ConcurrencyLimit: 8, Incarnation: 1}, time.Now())
+	h.directory.ObserveReport("u-3", directory.Report{Incarnation: 1, MemoryTotal: 30_000, EventTime: 70 * time.Millisecond}, time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	h.forwarder.Reservations = &scriptedReservations{decide: func(directory.View, reservation.Request) reservation.Decision {
+		cancel()
+		return reservation.Decision{Reason: "memory"}
+	}}
+	r := h.request(http.MethodPost, "/draft/x", "").WithContext(ctx)
+	r.RequestURI = "/draft/x"
+	r.Header.Set(testNames.TokenCounts, "100,40")
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { h.forwarder.ServeHTTP(httptest.NewRecorder(), r) })
+	require.Error(t, ctx.Err())
+	for _, v := range h.directory.All(time.Now()) {
+		require.False(t, v.Suspect, v.ID)
+	}
+}
+
 // Guards against a prediction that holds an engine of unknown pace for a fast one.
 func TestPredictGap(t *testing.T) {
 	for eventTime, want := range map[time.Duration]gapPrediction{
