Log the growth that a reservation's decision depends on

Since the growth counts for the time of a request only, the line of a decision contained the growth in 2 s nonetheless, so that grants of short outputs seemed to exceed the memory. The test fails before the change.

--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -20,6 +21,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
+	"github.com/flamingohold/flamingohold/internal/process/reservation"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/process/telemetry"
 )
@@ -184,6 +186,19 @@
 	require.Equal(t, 1, strings.Count(log.String(), `"refusals":2`))
 }
 
+// Guards against a log line that cannot explain its decision: the growth that counts
+// depends on the expected length of the request's output.
+func TestDecisionIsLoggedWithItsGrowth(t *testing.T) {
+	for output, growth := range map[int]int{0: 2128, 8: 489} {
+		var log bytes.Buffer
+		decisions := newReservations(eventlog.New(&log, zerolog.InfoLevel, ""), tally.NoopScope)
+		now := time.Now()
+		decisions.observe(directory.Report{Running: 8, MemoryUsed: 1000, MemoryTotal: 10000}, now)
+		require.True(t, decisions.reserve(reservation.Request{ID: "a", PromptTokens: 100, OutputTokens: output}, now).Granted)
+		require.Contains(t, log.String(), fmt.Sprintf(`"growth":%d,`, growth))
+	}
+}
+
 // Guards against a pace that routers are not sent, and one that outlives the engine's
 // incarnation.
 func TestStreamReportsPace(t *testing.T) {
--- a/internal/process/reporter/reservations.go
+++ b/internal/process/reporter/reservations.go
@@ -85,7 +85,7 @@
 		Int("refusals", refusals).Int("priority", r.Priority).Int("prompt_tokens", r.PromptTokens).
 		Int("output_tokens", r.OutputTokens).Float64("headroom", r.Headroom).Int("concurrency_limit", r.ConcurrencyLimit).
 		Dur("report_age", state.ReportAge).Int("memory_used", state.Report.MemoryUsed).
-		Int("memory_total", state.Report.MemoryTotal).Int("growth", state.Growth).Int("waiting", state.Report.Waiting).
+		Int("memory_total", state.Report.MemoryTotal).Int("growth", s.open.Growth(r)).Int("waiting", state.Report.Waiting).
 		Int("running", state.Report.Running).Int("open", state.Open).Int("reserved_tokens", state.Reserved).Send()
 	return decision
 }
--- a/internal/process/reservation/reservations.go
+++ b/internal/process/reservation/reservations.go
@@ -117,7 +117,7 @@
 // gains by a smaller headroom.
 func (s *Reservations) refusal(r Request, now time.Time) Decision {
 	limit := (1 - r.Headroom) * float64(s.report.MemoryTotal)
-	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.expectedGrowth(s.runTime(r))) - limit
+	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.Growth(r)) - limit
 	requests := s.report.Waiting + s.report.Running + len(s.open)
 	switch {
 	case s.report.Leaving:
@@ -243,10 +243,10 @@
 	return time.Duration(min(float64(growthPeriod), float64(prefillPeriod)+output))
 }
 
-// expectedGrowth returns the tokens by which the running generations are expected to
-// grow in the period.
-func (s *Reservations) expectedGrowth(period time.Duration) int {
-	return int(float64(s.growth) * period.Seconds() * float64(s.report.Running))
+// Growth returns the tokens by which the running generations are expected to grow while
+// the request runs, in growthPeriod at most.
+func (s *Reservations) Growth(r Request) int {
+	return int(float64(s.growth) * s.runTime(r).Seconds() * float64(s.report.Running))
 }
 
 // State is what a decision depends on, for logs and metrics.
@@ -257,8 +257,6 @@
 	// Open is the number of open reservations, and Reserved the sum of their prompts
 	// in tokens.
 	Open, Reserved int
-	// Growth is the expected growth of the running generations in tokens.
-	Growth int
 	// Shown and Expired count the reservations that ended because a report showed
 	// their work, and because none did.
 	Shown, Expired int
@@ -268,7 +266,7 @@
 func (s *Reservations) State(now time.Time) State {
 	s.expire(now)
 	state := State{
-		Report: s.report, Open: len(s.open), Reserved: s.reserved, Growth: s.expectedGrowth(growthPeriod), Shown: s.shown, Expired: s.expired,
+		Report: s.report, Open: len(s.open), Reserved: s.reserved, Shown: s.shown, Expired: s.expired,
 	}
 	if !s.reportedAt.IsZero() {
 		state.ReportAge = now.Sub(s.reportedAt)
--- a/internal/process/reservation/reservations_test.go
+++ b/internal/process/reservation/reservations_test.go
@@ -250,14 +250,14 @@
 func TestGrowthIsMeasured(t *testing.T) {
 	s := New()
 	s.Observe(engineReport(8, 10000), at(0))
-	require.Equal(t, 8*2*defaultGrowth, s.State(at(0)).Growth)
+	require.Equal(t, 8*2*defaultGrowth, s.Growth(Request{}))
 	used, ms := 10000, 0
 	for _, perRun := range []int{1, 0} {
 		for range 1000 {
 			used, ms = used+8*perRun, ms+20
 			s.Observe(engineReport(8, used), at(ms))
 		}
-		require.InDelta(t, 8*2*50*perRun, s.State(at(ms)).Growth, 8, "tokens in 20 ms")
+		require.InDelta(t, 8*2*50*perRun, s.Growth(Request{}), 8, "tokens in 20 ms")
 	}
 }
 
