Plainer names and comments for reservations, pace and listeners

One term each: a sample of a span, space in the queue, room at an engine. Divisors are no longer called shares. No change of behaviour.

--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -490,8 +490,8 @@
 	c.end()
 }
 
-// end closes the socket, and is the only way to do so. Data that arrives meanwhile is not served. The caller must
-// hold c.mu.
+// end closes the socket, and is the only way to do so. Data that arrives meanwhile is
+// not served. The caller must hold c.mu.
 func (c *connection) end() {
 	c.ended = true
 	_ = c.socket.Close()
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -52,10 +52,10 @@
 	defaultMaxPipelined     = 32
 	defaultMaxReceivedBytes = 256 << 20
 	defaultMaxUnsentBytes   = 128 << 20
-	// receivedShare and unsentShare are the shares of a process's memory that its
-	// requests and its unsent responses may use.
-	receivedShare = 4
-	unsentShare   = 8
+	// receivedDivisor and unsentDivisor divide a process's memory into the parts that
+	// its requests and its unsent responses may use.
+	receivedDivisor = 4
+	unsentDivisor   = 8
 	// lineSlackBytes is added to the bound of the header for the default bound of a
 	// line, so that a header of one line exceeds the header's bound first.
 	lineSlackBytes = 128
@@ -177,8 +177,8 @@
 // suit a process that has the given memory. Zero leaves the options unchanged.
 func (o Options) WithMemory(bytes int64) Options {
 	if bytes > 0 {
-		o.MaxReceivedBytes = bytes / receivedShare
-		o.MaxUnsentBytes = bytes / unsentShare
+		o.MaxReceivedBytes = bytes / receivedDivisor
+		o.MaxUnsentBytes = bytes / unsentDivisor
 	}
 	return o
 }
--- a/internal/process/reporter/pace/pace.go
+++ b/internal/process/reporter/pace/pace.go
@@ -25,9 +25,9 @@
 	minSpan       = 100 * time.Millisecond
 	minSpanEvents = 2
 	maxSpan       = 200 * time.Millisecond
-	// maxSightings bounds the sightings of a span. At one per poll of 15 ms, they
+	// maxSamples bounds the samples of a span. At one per poll of 15 ms, they
 	// cover maxSpan.
-	maxSightings = 16
+	maxSamples = 16
 	// maxReportGap is the time between two reports above which a prompt may have
 	// been processed unseen.
 	maxReportGap = 100 * time.Millisecond
--- a/internal/process/reporter/pace/span.go
+++ b/internal/process/reporter/pace/span.go
@@ -3,23 +3,23 @@
 import "time"
 
 // span is a time in which a run produced events and no prompt delayed it. Its
-// sightings are the reports in which the number of events had increased.
+// samples are the reports in which the number of events had increased.
 type span struct {
 	// events is the number of events in the latest report.
 	events int
 	// generation is the number of the latest report that lists the run.
 	generation uint64
-	// sightings holds count entries, the earliest first.
-	sightings [maxSightings]sighting
-	count     int
+	// samples holds count entries, the earliest first.
+	samples [maxSamples]sample
+	count   int
 }
 
-type sighting struct {
+type sample struct {
 	at     time.Time
 	events int
 }
 
-// restart discards the sightings.
+// restart discards the samples.
 func (s *span) restart(events int) { s.events, s.count = events, 0 }
 
 // observe adds the number of events in the report of now. It returns the mean time
@@ -35,8 +35,8 @@
 		return 0, false
 	}
 	s.events = events
-	s.add(sighting{at: now, events: events})
-	first := s.sightings[0]
+	s.add(sample{at: now, events: events})
+	first := s.samples[0]
 	elapsed, made := now.Sub(first.at), events-first.events
 	if made < minSpanEvents || elapsed < minSpan {
 		return 0, false
@@ -44,25 +44,25 @@
 	return elapsed / time.Duration(made), true
 }
 
-// add adds a sighting and drops the earliest ones without which the span still
+// add adds a sample and drops the earliest ones without which the span still
 // covers maxSpan and minSpanEvents.
-func (s *span) add(latest sighting) {
+func (s *span) add(latest sample) {
 	dropped := 0
 	for dropped+1 < s.count && s.coversWithout(dropped+1, latest) {
 		dropped++
 	}
-	if dropped == 0 && s.count == maxSightings {
+	if dropped == 0 && s.count == maxSamples {
 		dropped = 1
 	}
-	copy(s.sightings[:], s.sightings[dropped:s.count])
+	copy(s.samples[:], s.samples[dropped:s.count])
 	s.count -= dropped
-	s.sightings[s.count] = latest
+	s.samples[s.count] = latest
 	s.count++
 }
 
-// coversWithout reports whether the span up to the latest sighting is long enough
-// without the first n sightings.
-func (s *span) coversWithout(n int, latest sighting) bool {
-	first := s.sightings[n]
+// coversWithout reports whether the span up to the latest sample is long enough
+// without the first n samples.
+func (s *span) coversWithout(n int, latest sample) bool {
+	first := s.samples[n]
 	return latest.at.Sub(first.at) >= maxSpan && latest.events-first.events >= minSpanEvents
 }
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -152,7 +152,7 @@
 
 // Guards against room that two routers get by the same report, against a log that is
 // filled by requests that are tried again, against requests that end the reporter or
-// reserve without a name, and against lines of the stream that count a prompt twice.
+// reserve without an identifier, and against lines of the stream that count a prompt twice.
 func TestReservationsAreGrantedByReports(t *testing.T) {
 	var log bytes.Buffer
 	decisions := newReservations(eventlog.New(&log, zerolog.InfoLevel, ""), tally.NoopScope)
--- a/internal/process/reservation/rate.go
+++ b/internal/process/reservation/rate.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// rateMemory is the time constant of the measured rates. It spans more than a hundred
-// reports, so that neither the steps of a batch nor a single end dominate.
-const rateMemory = 2 * time.Second
+// rateTimeConstant is the time constant of the measured rates. It spans more than a
+// hundred reports, so that neither one step of a batch nor the end of one run dominates.
+const rateTimeConstant = 2 * time.Second
 
 // rate is an exponentially weighted mean of an amount per second.
 type rate float64
 
 // add records that the amount occurred in the elapsed time.
 func (r *rate) add(amount float64, elapsed time.Duration) {
-	weight := 1 - math.Exp(-elapsed.Seconds()/rateMemory.Seconds())
+	weight := 1 - math.Exp(-elapsed.Seconds()/rateTimeConstant.Seconds())
 	*r += rate(weight * (amount/elapsed.Seconds() - float64(*r)))
 }
 
-// timeFor returns the time in which the amount occurs, between minRetryIn and
-// maxRetryIn, or 0 if the rate is too low to say.
+// timeFor returns the time in which the amount is expected to occur, at least
+// minRetryIn, or 0 if it exceeds maxRetryIn.
 func (r rate) timeFor(amount float64) time.Duration {
 	seconds := amount / float64(r)
 	if r <= 0 || seconds > maxRetryIn.Seconds() {
--- a/internal/process/reservation/reservations.go
+++ b/internal/process/reservation/reservations.go
@@ -113,8 +113,8 @@
 }
 
 // refusal returns the decision that refuses the request, the zero Decision if there is
-// room for it. It does not depend on the priority: what an urgent request gains, it
-// gains by a smaller headroom.
+// room for it. It does not depend on the priority: urgent requests ask with a smaller
+// headroom.
 func (s *Reservations) refusal(r Request, now time.Time) Decision {
 	limit := (1 - r.Headroom) * float64(s.report.MemoryTotal)
 	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.Growth(r)) - limit
@@ -180,9 +180,9 @@
 }
 
 // endShown ends the reservations whose work the report shows. Each uses up a request and
-// as many tokens as its prompt of what has appeared since its grant, the oldest first.
-// So the prompts of all that end are no larger than what has appeared, whichever of the
-// expected requests it was, and no room is given away twice.
+// as many tokens as its prompt of the rises since its grant, the oldest first. So the
+// prompts of all that end do not exceed what has appeared, whichever of the expected
+// requests it was, and no room is granted twice.
 func (s *Reservations) endShown(now time.Time) {
 	kept := s.open[:0]
 	for _, o := range s.open {
--- a/internal/process/router/ratepermit/doc.go
+++ b/internal/process/router/ratepermit/doc.go
@@ -9,6 +9,7 @@
 // request, within latePermitLifetime.
 //
 // In a window of w seconds an upstream gets at most one request for each issuer,
-// and w times its limit; with late permits, w + 1.5 times. Routers that disagree on the issuers, because they know
-// different routers, add one request and half of the limit for each further issuer.
+// and w times its limit; with late permits, w + 1.5 times. Routers that disagree on the
+// issuers, because they know different routers, add one request and half of the limit
+// for each further issuer.
 package ratepermit
--- a/internal/process/router/reporterclient/reporterclient_test.go
+++ b/internal/process/router/reporterclient/reporterclient_test.go
@@ -185,7 +185,7 @@
 }
 
 // Guards against requests that are not sent because a reporter is not connected, does not
-// answer, does not know reservations or answers nonsense, and against refusals that are
+// answer, does not know reservations or gives an unexpected answer, and against refusals that are
 // ignored.
 func TestReservationsAreDecidedByReporter(t *testing.T) {
 	client, d, scripted := newClient(t)
--- a/internal/process/router/selection/pace.go
+++ b/internal/process/router/selection/pace.go
@@ -17,10 +17,10 @@
 	// gapMultiple is the factor by which an interval grows when the engine is in
 	// prefill, which doubles a step, and is slowed to 0.4 of its pace for a short time.
 	gapMultiple = 5.0
-	// referenceShare is the inverse of the share of the engines whose event time is
-	// the reference or less. With the median as reference, engines would not count as
-	// slow where most are.
-	referenceShare = 8
+	// referenceDivisor sets the reference: one in referenceDivisor engines has an event
+	// time of the reference or less. With the median as reference, engines would not
+	// count as slow where most are.
+	referenceDivisor = 8
 	// slowPenalty is the penalty for a slow engine whose event time, multiplied by
 	// gapMultiple, is the request's MaxEventGap. It outweighs the load of a full
 	// engine: 1 for its memory, 1.35 for the pressure of a prompt of a tenth of its
@@ -64,7 +64,7 @@
 		return EventTimes{}
 	}
 	slices.Sort(known)
-	return EventTimes{Reference: known[(len(known)-1)/referenceShare], Median: known[(len(known)-1)/2]}
+	return EventTimes{Reference: known[(len(known)-1)/referenceDivisor], Median: known[(len(known)-1)/2]}
 }
 
 // IsLong reports whether the output of the request is expected to be long enough to meet
--- a/internal/process/router/waitqueue/waitqueue.go
+++ b/internal/process/router/waitqueue/waitqueue.go
@@ -22,9 +22,9 @@
 	// maxRetryAfter is the limit of the delay. A caller that returns later than this
 	// may find room much earlier at another router.
 	maxRetryAfter = 5 * time.Second
-	// maxBacklog bounds the time for which room is assigned to rejected requests.
-	// Callers that gave up do not use theirs, and a long overload would delay those
-	// that come after it.
+	// maxBacklog bounds the time for which space is assigned to rejected requests.
+	// Callers that gave up do not use theirs, and after a long overload the next
+	// callers would be delayed too long.
 	maxBacklog = 4 * maxRetryAfter
 )
 
@@ -76,7 +76,7 @@
 	// time of the last one.
 	interval time.Duration
 	lastLeft time.Time
-	// lastReturn is the time at which the queue is expected to have had room for all
+	// lastReturn is the time at which the queue is expected to have had space for all
 	// rejected requests, one after the other.
 	lastReturn time.Time
 }
@@ -103,7 +103,7 @@
 	defer q.mu.Unlock()
 	q.sequence++
 	p := &Place{queue: q, request: r, sequence: q.sequence, turn: make(chan struct{}, 1), rejected: make(chan struct{})}
-	if !q.makeRoom(p, now) {
+	if !q.makeSpace(p, now) {
 		return nil, q.delay(r, now)
 	}
 	list := q.services[r.Service]
@@ -120,9 +120,9 @@
 	return p, 0
 }
 
-// makeRoom rejects as many requests as the new one needs, but none before it in
+// makeSpace rejects as many requests as the new one needs, but none before it in
 // order. It returns false without a rejection if these are too few.
-func (q *Queue) makeRoom(p *Place, now time.Time) bool {
+func (q *Queue) makeSpace(p *Place, now time.Time) bool {
 	requests, bytes := q.requests+1, q.bytes+p.request.Bytes
 	var victims []*Place
 	taken := make(map[string]int, len(q.services))
@@ -170,7 +170,7 @@
 }
 
 // delay returns the time after which a rejected request may retry. The queue is
-// expected to get room for one request in each interval, and each rejected request
+// expected to get space for one request in each interval, and each rejected request
 // is assigned the next one, so that those rejected first return first. The time that
 // the request has waited already counts. The delay approaches maxRetryAfter without
 // reaching it, so that the order is kept.
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -168,7 +168,7 @@
 	// dispatch is how the request is dispatched, rank the rank that its upstream gets.
 	dispatch dispatch.Decision
 	rank     int
-	// reservation is what the request knows of its reservations.
+	// reservation is the state of the reservations of the present attempt.
 	reservation reservationState
 	// rejection is why the request is refused without a further attempt, nil if it is
 	// not.
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -21,8 +21,8 @@
 // Each call delays the request by a round trip.
 const maxReservationsAsked = 3
 
-// maxUnevenAsked is maxReservationsAsked where the engines are uneven: the fast ones are
-// asked first, and one that is slow must still be reached.
+// maxUnevenAsked is maxReservationsAsked where the engines are uneven: fast engines are
+// asked first, and more calls are needed to reach a slower one with room.
 const maxUnevenAsked = 6
 
 // tablePolicy is the dispatch policy of a route table.
@@ -65,7 +65,7 @@
 	}
 }
 
-// reservationState is what a request knows of its reservations for one attempt.
+// reservationState is the state of a request's reservations in one attempt.
 type reservationState struct {
 	// id identifies the request to reporters.
 	id string
--- a/internal/request/forwarding/waiting.go
+++ b/internal/request/forwarding/waiting.go
@@ -16,7 +16,7 @@
 	minRoomInterval = 20 * time.Millisecond
 	maxRoomInterval = 50 * time.Millisecond
 	// stopCheckInterval is the time between two checks whether the process stops, for
-	// requests that may not look for room.
+	// requests that are not the first one in the queue.
 	stopCheckInterval = 250 * time.Millisecond
 )
 
@@ -24,8 +24,8 @@
 type waitEnd string
 
 const (
-	// waitGoesOn: the wait has not ended.
-	waitGoesOn waitEnd = ""
+	// waitContinues: the wait has not ended.
+	waitContinues waitEnd = ""
 	// waitGranted: an engine granted a reservation.
 	waitGranted waitEnd = "granted"
 	// waitDue: the request must be sent now.
@@ -85,7 +85,7 @@
 			}
 		}
 		w.logBegin(isFirst)
-		if end := w.pause(ctx, isFirst, freed); end != waitGoesOn {
+		if end := w.pause(ctx, isFirst, freed); end != waitContinues {
 			return directory.View{}, nil, end
 		}
 	}
@@ -97,7 +97,7 @@
 	if !isFirst {
 		return w.sleep(ctx, stopCheckInterval, w.place.Turn())
 	}
-	if end := w.sleep(ctx, minRoomInterval, nil); end != waitGoesOn {
+	if end := w.sleep(ctx, minRoomInterval, nil); end != waitContinues {
 		return end
 	}
 	return w.sleep(ctx, maxRoomInterval-minRoomInterval, freed)
@@ -123,7 +123,7 @@
 	if !now.Before(w.dispatch.SendBy) {
 		return waitDue
 	}
-	return waitGoesOn
+	return waitContinues
 }
 
 // logBegin logs once that the request waits.
