--- a/internal/process/reservation/reservations.go
+++ b/internal/process/reservation/reservations.go
@@ -113,11 +113,11 @@
 }
 
 // refusal returns the decision that refuses the request, the zero Decision if there is
-// room for it. It does not depend on the priority: what an urgent request gains, it
-// gains by a smaller headroom.
+// room for it. It does not depend on the priority: urgent requests ask with a smaller
+// headroom.
 func (s *Reservations) refusal(r Request, now time.Time) Decision {
 	limit := (1 - r.Headroom) * float64(s.report.MemoryTotal)
-	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.expectedGrowth(s.runTime(r))) - limit
+	missing := float64(s.report.MemoryUsed+s.reserved+r.PromptTokens+s.Growth(r)) - limit
 	requests := s.report.Waiting + s.report.Running + len(s.open)
 	switch {
 	case s.report.Leaving:
@@ -180,9 +180,9 @@
 }
 
 // endShown ends the reservations whose work the report shows. Each uses up a request and
-// as many tokens as its prompt of what has appeared since its grant, the oldest first.
-// So the prompts of all that end are no larger than what has appeared, whichever of the
-// expected requests it was, and no room is given away twice.
+// as many tokens as its prompt of the rises since its grant, the oldest first. So the
+// prompts of all that end do not exceed what has appeared, whichever of the expected
+// requests it was, and no room is granted twice.
 func (s *Reservations) endShown(now time.Time) {
 	kept := s.open[:0]
 	for _, o := range s.open {
@@ -192,7 +192,9 @@
 			kept = append(kept, o)
 			continue
 		}
-		s.usedArrivals, s.usedRise = arrivals, rise
+		// A run whose rise was not seen is listed now, so that its rise cannot follow.
+		// Beyond the present values, it would be taken from that of a later request.
+		s.usedArrivals, s.usedRise = min(arrivals, s.arrivals), min(rise, s.rise)
 		s.reserved -= o.prompt
 		s.shown++
 	}
@@ -241,10 +243,10 @@
 	return time.Duration(min(float64(growthPeriod), float64(prefillPeriod)+output))
 }
 
-// expectedGrowth returns the tokens by which the running generations are expected to
-// grow in the period.
-func (s *Reservations) expectedGrowth(period time.Duration) int {
-	return int(float64(s.growth) * period.Seconds() * float64(s.report.Running))
+// Growth returns the tokens by which the running generations are expected to grow while
+// the request runs, in growthPeriod at most.
+func (s *Reservations) Growth(r Request) int {
+	return int(float64(s.growth) * s.runTime(r).Seconds() * float64(s.report.Running))
 }
 
 // State is what a decision depends on, for logs and metrics.
@@ -255,8 +257,6 @@
 	// Open is the number of open reservations, and Reserved the sum of their prompts
 	// in tokens.
 	Open, Reserved int
-	// Growth is the expected growth of the running generations in tokens.
-	Growth int
 	// Shown and Expired count the reservations that ended because a report showed
 	// their work, and because none did.
 	Shown, Expired int
@@ -266,7 +266,7 @@
 func (s *Reservations) State(now time.Time) State {
 	s.expire(now)
 	state := State{
-		Report: s.report, Open: len(s.open), Reserved: s.reserved, Growth: s.expectedGrowth(growthPeriod), Shown: s.shown, Expired: s.expired,
+		Report: s.report, Open: len(s.open), Reserved: s.reserved, Shown: s.shown, Expired: s.expired,
 	}
 	if !s.reportedAt.IsZero() {
 		state.ReportAge = now.Sub(s.reportedAt)
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -21,8 +21,8 @@
 // Each call delays the request by a round trip.
 const maxReservationsAsked = 3
 
-// maxUnevenAsked is maxReservationsAsked where the engines are uneven: the fast ones are
-// asked first, and one that is slow must still be reached.
+// maxUnevenAsked is maxReservationsAsked where the engines are uneven: fast engines are
+// asked first, and more calls are needed to reach a slower one with room.
 const maxUnevenAsked = 6
 
 // tablePolicy is the dispatch policy of a route table.
@@ -65,7 +65,7 @@
 	}
 }
 
-// reservationState is what a request knows of its reservations for one attempt.
+// reservationState is the state of a request's reservations in one attempt.
 type reservationState struct {
 	// id identifies the request to reporters.
 	id string
@@ -141,10 +141,16 @@
 // first that grants one.
 func (c *call) reserve(ctx context.Context, s roomSearch) (directory.View, func(), roomResult) {
 	views, request := c.candidates()
+	return c.reserveAmong(ctx, views, request, s)
+}
+
+// reserveAmong is reserve among the candidates. It changes them.
+func (c *call) reserveAmong(ctx context.Context, views []directory.View, request selection.Request, s roomSearch) (directory.View, func(), roomResult) {
 	if !selection.HasCandidate(views, request) {
 		return directory.View{}, nil, noCandidate
 	}
 	request.Exclude = maps.Clone(c.tried)
+	c.blockWithoutPermit(views)
 	if s.skipFull {
 		c.blockFull(views, request, s.headroom)
 	}
@@ -162,18 +168,11 @@
 	return directory.View{}, nil, roomRefused
 }
 
-// reserveByPace chooses an upstream that grants a reservation to a long output at a
-// service whose engines are uneven. All routers prefer the same few fast engines there,
-// and would together preempt generations. The result is not roomGranted if the request
-// needs no reservation or if none was granted.
-func (c *call) reserveByPace(ctx context.Context) (directory.View, func(), roomResult) {
-	if c.Reservations == nil || c.route.MaxEventGap <= 0 || c.mayHaveRun {
-		return directory.View{}, nil, roomRefused
-	}
-	if _, request := c.candidates(); !selection.IsLong(request) || !request.EventTimes.AreUneven() {
-		return directory.View{}, nil, roomRefused
-	}
-	return c.reserve(ctx, roomSearch{engines: maxUnevenAsked, skipFull: true})
+// reservesByPace reports whether the request reserves room although its service has no
+// dispatch policy: it has a long output, and the engines are uneven. All routers prefer
+// the same few fast engines there, and would together preempt generations.
+func (c *call) reservesByPace(r selection.Request) bool {
+	return c.Reservations != nil && r.MaxEventGap > 0 && !c.mayHaveRun && selection.IsLong(r) && r.EventTimes.AreUneven()
 }
 
 // promptTokens returns the size of the prompt for which room is needed, in tokens: the one
@@ -198,14 +197,25 @@
 	}
 }
 
+// blockWithoutPermit blocks the upstreams that refused the request for a limit or a pause
+// which has not ended. A reservation there could not be used.
+func (c *call) blockWithoutPermit(views []directory.View) {
+	if len(c.admitsAt) == 0 {
+		return
+	}
+	now := c.Clock()
+	for i := range views {
+		if now.Before(c.admitsAt[views[i].ID]) {
+			views[i].Blocked = true
+		}
+	}
+}
+
 // reserveAt reports whether the upstream grants a reservation and may get the request.
 func (c *call) reserveAt(ctx context.Context, v directory.View, headroom float64) bool {
 	s := &c.reservation
 	if s.id == "" {
-		s.id = c.id
-	}
-	if s.id == "" {
-		s.id = strconv.FormatUint(rand.Uint64(), 36)
+		s.id = c.reservationID()
 	}
 	s.last = c.Reservations.Reserve(ctx, v, reservation.Request{
 		ID: s.id, Priority: c.dispatch.Priority, PromptTokens: c.promptTokens(), OutputTokens: c.sizes.Output, Headroom: headroom,
@@ -223,6 +233,15 @@
 	return false
 }
 
+// reservationID returns the identifier of the request if reporters accept it, else a
+// random one.
+func (c *call) reservationID() string {
+	if (reservation.Request{ID: c.id}).HasValidID() {
+		return c.id
+	}
+	return strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // releaseReservation releases the reservation at the upstream, if there is one. The
 // reporter may hold one that was not confirmed.
 func (c *call) releaseReservation(v directory.View) {
