--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -56,6 +56,9 @@
 	// its requests and its unsent responses may use.
 	receivedDivisor = 4
 	unsentDivisor   = 8
+	// headerMemoryBytes bounds the memory of one header of maxHeaderBytes: most of it is
+	// that of its lines, of at least four bytes each.
+	headerMemoryBytes = 8 << 20
 	// lineSlackBytes is added to the bound of the header for the default bound of a
 	// line, so that a header of one line exceeds the header's bound first.
 	lineSlackBytes = 128
--- a/internal/connection/listener/untrusted_test.go
+++ b/internal/connection/listener/untrusted_test.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// Guards against a bound of the memory of requests that refuses a single one of legal size
+// where the process has little memory.
+func TestSingleLargestRequestIsServedWithLittleMemory(t *testing.T) {
+	l := startListener(t, listener.Options{MaxBodyBytes: 8 << 20}.WithMemory(16<<20), func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	c, r := dial(t, l, "")
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8388608\r\n\r\n"+strings.Repeat("a", 8<<20))
+	require.NoError(t, err)
+	response, body := readResponse(t, r)
+	require.Equal(t, http.StatusOK, response.StatusCode, body)
+	require.NoError(t, c.Close())
+}
+
 // Guards against requests that are read ahead of their responses without bound, and
 // against a refusal of one that runs, or that overtakes the earlier responses.
 func TestPipelinedRequestsBeyondTheLimitAreNotRun(t *testing.T) {
