--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -177,10 +177,11 @@
 }
 
 // WithMemory returns options in which the bounds of the received and the unsent bytes
-// suit a process that has the given memory. Zero leaves the options unchanged.
+// suit a process that has the given memory, and allow at least one request of the
+// largest size. Zero leaves the options unchanged.
 func (o Options) WithMemory(bytes int64) Options {
 	if bytes > 0 {
-		o.MaxReceivedBytes = bytes / receivedDivisor
+		o.MaxReceivedBytes = max(bytes/receivedDivisor, int64(o.withDefaults().MaxBodyBytes)+headerMemoryBytes)
 		o.MaxUnsentBytes = bytes / unsentDivisor
 	}
 	return o
