--- a/internal/process/router/selection/pace_test.go
+++ b/internal/process/router/selection/pace_test.go
@@ -62,8 +62,9 @@
 			r.EventTimes = EventTimesOf(views)
 		}
 		before := Request{DataCentre: r.DataCentre, Tokens: r.Tokens, MemoryTokens: r.MemoryTokens}
+		summaryBefore, summary := summarise(views, before), summarise(views, r)
 		for i := range views {
-			require.Equal(t, score(&views[i], before, summarise(views, before)), score(&views[i], r, summarise(views, r)))
+			require.Equal(t, score(&views[i], &before, &summaryBefore, nil), score(&views[i], &r, &summary, nil))
 		}
 	})
 }
--- a/internal/process/router/selection/selection.go
+++ b/internal/process/router/selection/selection.go
@@ -69,10 +69,10 @@
 	summary := summarise(views, r)
 	for i := range views {
 		v := &views[i]
-		if r.Exclude[v.ID] || v.Blocked || v.Leaving {
+		if !isCandidate(v, &r) {
 			continue
 		}
-		score := score(v, r, summary) + random()*maxJitter
+		score := score(v, &r, &summary, nil) + random()*MaxJitter
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
@@ -83,9 +83,9 @@
 	return views[best], true
 }
 
-// maxJitter is the largest random part of a score, as a share of an upstream's
+// MaxJitter is the largest random part of a score, as a share of an upstream's
 // capacity. It spreads the choices of routers with equal views.
-const maxJitter = 0.08
+const MaxJitter = 0.08
 
 // serviceSummary aggregates the views of a service.
 type serviceSummary struct {
@@ -124,34 +124,43 @@
 // estimatedLoad returns the load of the upstream. An upstream that has not
 // reported while others have is not treated as idle, because all routers
 // discover it at the same time.
-func (o serviceSummary) estimatedLoad(v *directory.View, r Request) float64 {
-	load := Load(v, r.MemoryTokens)
+func (o *serviceSummary) estimatedLoad(v *directory.View, memoryTokens int) float64 {
+	load := Load(v, memoryTokens)
 	if v.Reported || o.reportedCount == 0 {
 		return load
 	}
 	return max(load, o.meanLoad) + unreportedPenalty
 }
 
-func score(v *directory.View, r Request, o serviceSummary) float64 {
-	s := o.estimatedLoad(v, r)
-	s += memoryPressure(v, r)
+// score returns the score of the upstream without its random part, and sets its parts
+// unless parts is nil. Parts as a result would make Choose 1.2 to 1.9 times as slow.
+func score(v *directory.View, r *Request, o *serviceSummary, parts *Parts) float64 {
+	load := o.estimatedLoad(v, r.MemoryTokens)
+	pressure := memoryPressure(v, r)
+	remote, suspect, failures, cold := 0.0, 0.0, 0.0, 0.0
 	if v.DataCentre != r.DataCentre {
-		penalty := remotePenalty
+		remote = remotePenalty
 		if r.RemotePenalty > 0 {
-			penalty = r.RemotePenalty
+			remote = r.RemotePenalty
 		}
-		s += penalty
 	}
 	if v.Suspect {
-		s += suspectPenalty
+		suspect = suspectPenalty
 	}
 	if excess := v.FailureRate - o.lowestFailureRate; excess > toleratedFailureExcess {
-		s += failurePenalty * excess
+		failures = failurePenalty * excess
 	}
 	if v.Cold {
-		s += coldPenalty
+		cold = coldPenalty
 	}
-	return s + pacePenalty(v, r, o.eventTimes)
+	pace := 0.0
+	if r.MaxEventGap > 0 {
+		pace = pacePenalty(v, *r, o.eventTimes)
+	}
+	if parts != nil {
+		*parts = Parts{Load: load, MemoryPressure: pressure, Remote: remote, Suspect: suspect, Failures: failures, Cold: cold, Pace: pace}
+	}
+	return load + pressure + remote + suspect + failures + cold + pace
 }
 
 // Load returns the load of the upstream: the share of its concurrency limit or of
@@ -185,7 +194,7 @@
 
 // memoryPressure returns the load that represents the request's wait for memory,
 // and the preemption of running generations when memory runs out.
-func memoryPressure(v *directory.View, r Request) float64 {
+func memoryPressure(v *directory.View, r *Request) float64 {
 	total := max(v.MemoryTotal, r.MemoryTokens)
 	if total == 0 || !v.Reported {
 		return 0
@@ -206,11 +215,15 @@
 	return n
 }
 
+// isCandidate reports whether the upstream may be chosen.
+func isCandidate(v *directory.View, r *Request) bool {
+	return !r.Exclude[v.ID] && !v.Blocked && !v.Leaving
+}
+
 // HasCandidate reports whether Choose returns an upstream.
 func HasCandidate(views []directory.View, r Request) bool {
 	for i := range views {
-		v := &views[i]
-		if !r.Exclude[v.ID] && !v.Blocked && !v.Leaving {
+		if isCandidate(&views[i], &r) {
 			return true
 		}
 	}
