Explain at the metrics address where a request would go now

Operators could read why a request went somewhere only afterwards, in its log line. GET /v1/explain answers before, with the functions that decide: the lookup of route and account, the dispatch decision, the mode of the search for an engine, the scores, the pauses, the room shown by reports, the place in the queue and the refusals are split from those with effects and shared with them. Directory.Inspect replaces Directory.Service there, which suspects upstreams and deletes removed ones: with Service in its place, the test that explanations change nothing fails.

A route's own timeout counts as the deadline.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -215,6 +215,25 @@
 	return views, suspected
 }
 
+// Inspect returns the views that Service returns, and those of the service's upstreams
+// that may get no new work: they are leaving, or else their data centre is out of
+// service. It changes nothing, as it serves explanations: it neither suspects upstreams
+// nor deletes removed ones.
+func (d *Directory) Inspect(service string, now time.Time) (usable, unusable []View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, u := range d.upstreams {
+		switch {
+		case u.entry.Service != service || u.expired(now):
+		case d.usable(u, now):
+			usable = append(usable, u.view(now, d.coldRate))
+		default:
+			unusable = append(unusable, u.view(now, d.coldRate))
+		}
+	}
+	return usable, unusable
+}
+
 // HasUpstreams reports whether the directory holds any upstream.
 func (d *Directory) HasUpstreams() bool {
 	d.mu.Lock()
--- a/internal/process/directory/suspect_test.go
+++ b/internal/process/directory/suspect_test.go
@@ -69,3 +69,28 @@
 	require.True(t, suspect(t, d, "b", start))
 	require.Equal(t, []string{"a"}, suspected, "a suspicion of another router is not shared again")
 }
+
+// Guards against an inspection that has an effect: it must not start to suspect an upstream
+// nor delete a removed one, and must return the views that requests get.
+func TestInspectChangesNothing(t *testing.T) {
+	var suspected []string
+	d := newDirectory()
+	d.OnSuspect(func(id string) { suspected = append(suspected, id) })
+	for i, id := range []string{"a", "b", "c"} {
+		d.Upsert(entry(id, "10.0.0.1:"+string(rune('1'+i)), 1), start)
+	}
+	d.ObserveReport("a", Report{Incarnation: 1, Running: 3}, start)
+	d.TrackUnanswered("a", start)
+	d.MarkLeaving("b", 1, start)
+	d.MarkRemoved("c", false, start)
+	late := start.Add(reportDelay)
+	usable, unusable := d.Inspect("lm", late)
+	require.Empty(t, suspected)
+	require.Len(t, unusable, 2)
+	require.Equal(t, usable, d.Service("lm", late))
+	require.Equal(t, []string{"a"}, suspected)
+	expired := start.Add(removedRetention + time.Second)
+	_, unusable = d.Inspect("lm", expired)
+	require.Len(t, unusable, 1, "a removed upstream is not shown for ever")
+	require.Len(t, d.All(expired), 3)
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/hostsettings"
 	"github.com/flamingohold/flamingohold/internal/process/refusallog"
+	"github.com/flamingohold/flamingohold/internal/process/router/explanation"
 	"github.com/flamingohold/flamingohold/internal/process/router/fleetview"
 	"github.com/flamingohold/flamingohold/internal/process/router/mirror"
 	"github.com/flamingohold/flamingohold/internal/process/router/peers"
@@ -257,10 +258,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(peers.Path(), r.peers)
 	mux.Handle(ratepermit.Path(), r.permits)
+	forwarder := r.forwarder(processCtx)
 	callers, err := listener.New(listener.Options{
 		Address: r.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, Limits: r.limits,
 		MaxConnections: max(1, r.settings.MaxDescriptors-reservedDescriptors), OnPanic: r.panicked, OnRefusal: r.refusals.Record,
-	}.WithMemory(r.settings.MemoryBytes), r.forwarder(processCtx))
+	}.WithMemory(r.settings.MemoryBytes), forwarder)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -271,7 +273,7 @@
 	}{
 		{r.settings.ReadinessAddress, http.HandlerFunc(r.serveReadiness)},
 		{r.settings.PeerAddress, mux},
-		{r.settings.MetricsAddress, r.telemetry.MetricsHandler()},
+		{r.settings.MetricsAddress, r.inspection(forwarder)},
 	} {
 		options := listener.Options{Address: o.address, OnPanic: r.panicked, OnRefusal: r.refusals.Record}
 		l, err := listener.New(options.WithMemory(r.settings.MemoryBytes), o.handler)
@@ -283,7 +285,15 @@
 	return servers, callers, nil
 }
 
-func (r *Router) forwarder(processCtx context.Context) http.Handler {
+// inspection returns the handler for operators at the metrics address.
+func (r *Router) inspection(f *forwarding.Forwarder) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(explanation.Path, explanation.Handler(f.Explain))
+	mux.Handle("/", r.telemetry.MetricsHandler())
+	return mux
+}
+
+func (r *Router) forwarder(processCtx context.Context) *forwarding.Forwarder {
 	return forwarding.New(forwarding.Options{
 		Names: r.platform.Headers, DataCentre: r.settings.DataCentre, Table: r.view.Table,
 		Directory: r.directory, Pool: r.pool, Budget: r.budget, Prompts: r.prompts, Limits: r.stated, Pauses: r.pauses, Gate: r.gate, Reservations: r.reporters,
--- a/internal/process/router/router_test.go
+++ b/internal/process/router/router_test.go
@@ -70,6 +70,7 @@
 	t         *testing.T
 	callers   string
 	readiness string
+	metrics   string
 	store     *scriptedStore
 	stop      context.CancelFunc
 	ended     chan error
@@ -88,13 +89,13 @@
 	t.Helper()
 	server := httptest.NewServer(upstream)
 	t.Cleanup(server.Close)
-	r := &testRouter{t: t, callers: freeAddress(t), readiness: freeAddress(t), store: &scriptedStore{}, ended: make(chan error, 1)}
+	r := &testRouter{t: t, callers: freeAddress(t), readiness: freeAddress(t), metrics: freeAddress(t), store: &scriptedStore{}, ended: make(chan error, 1)}
 	tel, err := telemetry.New(t.Context(), &settings.Settings{Name: "router"})
 	require.NoError(t, err)
 	router, err := New(Platform{
 		Settings: hostsettings.Settings{
 			Name: "router", DataCentre: "dc-1", CallerAddress: r.callers, ReadinessAddress: r.readiness, PeerAddress: freeAddress(t),
-			MetricsAddress: freeAddress(t), ReporterPort: 1, MaxDescriptors: 4000, ShutdownNotice: notice,
+			MetricsAddress: r.metrics, ReporterPort: 1, MaxDescriptors: 4000, ShutdownNotice: notice,
 		},
 		Headers:    headers.Names{RequestID: "Request-Id", Deadline: "Time-Left-Ms", ExpectUpstream: "Expect-Upstream", NotRun: "Not-Run", Seal: "Seal"},
 		Decoder:    scriptedDecoder{upstream: strings.TrimPrefix(server.URL, "http://")},
@@ -111,17 +112,23 @@
 
 // get returns the status of the response, 0 if there is none.
 func (r *testRouter) get(address, host string) int {
-	request, err := http.NewRequestWithContext(r.t.Context(), http.MethodGet, "http://"+address+"/x", nil)
+	status, _ := r.read(address, host, "/x")
+	return status
+}
+
+// read returns the status and the body of the response, 0 if there is none.
+func (r *testRouter) read(address, host, target string) (int, string) {
+	request, err := http.NewRequestWithContext(r.t.Context(), http.MethodGet, "http://"+address+target, nil)
 	require.NoError(r.t, err)
 	request.Host = host
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
-	_, err = io.Copy(io.Discard, response.Body)
+	body, err := io.ReadAll(response.Body)
 	require.NoError(r.t, errors.CombineErrors(err, response.Body.Close()))
-	return response.StatusCode
+	return response.StatusCode, string(body)
 }
 
 func (r *testRouter) await(status int, address string) {
@@ -171,3 +178,37 @@
 	require.NoError(t, <-r.ended)
 	require.Less(t, time.Since(stopTime), notice)
 }
+
+// Guards against explanations that callers can read, and against metrics that the
+// explanations at the same address hide.
+func TestExplanationsAreServedAtTheMetricsAddress(t *testing.T) {
+	var requests atomic.Int64
+	r := start(t, 2*time.Second, func(w http.ResponseWriter, request *http.Request) {
+		requests.Add(1)
+		writeSealed(w, request)
+	})
+	const target = "/v1/explain?host=desk.example&path=/x"
+	r.await(http.StatusServiceUnavailable, r.readiness)
+	_, body := r.read(r.metrics, "router", target)
+	require.Contains(t, body, `"reason":"no_routes_known"`)
+	r.store.reachable.Store(true)
+	r.await(http.StatusOK, r.readiness)
+	status, body := r.read(r.metrics, "router", target)
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, `"outcome":"send"`)
+	require.Contains(t, body, `"id":"u"`)
+	status, body = r.read(r.metrics, "router", "/v1/explain?host=other.example&path=/x")
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, `"outcome":"refuse","reason":"no_route"`)
+	status, body = r.read(r.metrics, "router", "/v1/explain?host=desk.example")
+	require.Equal(t, http.StatusBadRequest, status)
+	require.Contains(t, body, "path is missing")
+	status, body = r.read(r.metrics, "router", "/metrics")
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, "go_goroutines")
+	require.Zero(t, requests.Load())
+	status, _ = r.read(r.callers, "other.example", target)
+	require.Equal(t, http.StatusNotFound, status)
+	status, body = r.read(r.callers, "desk.example", target)
+	require.Equal(t, []any{http.StatusOK, "seen"}, []any{status, body}, "it is a caller's request like any other")
+}
--- a/internal/process/router/waitqueue/waitqueue.go
+++ b/internal/process/router/waitqueue/waitqueue.go
@@ -106,9 +106,8 @@
 	if !q.makeRoom(p, now) {
 		return nil, q.delay(r, now)
 	}
-	list := q.services[r.Service]
-	at := sort.Search(len(list), func(i int) bool { return p.before(list[i]) })
-	list = append(list, nil)
+	at := q.position(p)
+	list := append(q.services[r.Service], nil)
 	copy(list[at+1:], list[at:])
 	list[at] = p
 	q.services[r.Service] = list
@@ -123,25 +122,54 @@
 // makeRoom rejects as many requests as the new one needs, but none before it in
 // order. It returns false without a rejection if these are too few.
 func (q *Queue) makeRoom(p *Place, now time.Time) bool {
+	victims, ok := q.victims(p)
+	for _, victim := range victims {
+		q.remove(victim)
+		victim.retryAfter = q.delay(victim.request, now)
+		close(victim.rejected)
+	}
+	return ok
+}
+
+// victims returns the places that makeRoom rejects, and false if these are too few.
+func (q *Queue) victims(p *Place) (victims []*Place, ok bool) {
 	requests, bytes := q.requests+1, q.bytes+p.request.Bytes
-	var victims []*Place
 	taken := make(map[string]int, len(q.services))
 	for requests > q.bounds.Requests || bytes > q.bounds.Bytes {
 		victim := q.last(taken)
 		if victim == nil || victim.before(p) {
-			return false
+			return nil, false
 		}
 		taken[victim.request.Service]++
 		victims = append(victims, victim)
 		requests--
 		bytes -= victim.request.Bytes
 	}
-	for _, victim := range victims {
-		q.remove(victim)
-		victim.retryAfter = q.delay(victim.request, now)
-		close(victim.rejected)
-	}
-	return true
+	return victims, true
+}
+
+// Outlook is what Join would do with a request.
+type Outlook struct {
+	// IsFull is true if the request would be rejected.
+	IsFull bool
+	// Ahead is the number of requests of its service that would be before it, and
+	// Queued the number of all requests in the queue.
+	Ahead, Queued int
+}
+
+// Inspect returns what Join would do with the request, and changes nothing.
+func (q *Queue) Inspect(r Request) Outlook {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := &Place{queue: q, request: r, sequence: q.sequence + 1}
+	_, ok := q.victims(p)
+	return Outlook{IsFull: !ok, Ahead: q.position(p), Queued: q.requests}
+}
+
+// position returns the number of places of the service before the new one.
+func (q *Queue) position(p *Place) int {
+	list := q.services[p.request.Service]
+	return sort.Search(len(list), func(i int) bool { return p.before(list[i]) })
 }
 
 // last returns the last place in order over all services, without the given number
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -76,15 +76,21 @@
 // directory. The function done must be called when the request has ended there.
 func (c *call) chooseUpstream(ctx context.Context) (v directory.View, done func(), ok bool) {
 	c.reservation = reservationState{}
-	if c.dispatch.Enabled {
-		v, done, ok := c.chooseWithRoom(ctx)
-		if ok || c.rejection != nil || ctx.Err() != nil {
+	switch m := c.searchMode(c.Clock(), func() selection.Request { _, r := c.candidates(); return r }); m {
+	case searchInQueue:
+		v, done, ok = c.waitForRoom(ctx)
+		if ok || c.rejection != nil {
 			return v, done, ok
 		}
-		return c.chooseByScore(ctx)
+	case searchForRoom, searchByPace:
+		v, done, result := c.reserve(ctx, m.room(c.Headroom))
+		if result == roomGranted {
+			return v, done, true
+		}
+	case searchByScore:
 	}
-	if v, done, result := c.reserveByPace(ctx); result == roomGranted {
-		return v, done, true
+	if c.dispatch.Enabled && ctx.Err() != nil {
+		return directory.View{}, nil, false
 	}
 	return c.chooseByScore(ctx)
 }
@@ -109,6 +115,12 @@
 // selection of one that was not tried.
 func (c *call) candidates() ([]directory.View, selection.Request) {
 	views := c.Directory.Service(c.service.Name, c.Clock())
+	return views, c.selectionOf(views)
+}
+
+// selectionOf blocks the views that have asked for a pause, and returns the request for
+// the selection of one that was not tried.
+func (c *call) selectionOf(views []directory.View) selection.Request {
 	c.blockPaused(views)
 	request := selection.Request{
 		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
@@ -117,7 +129,7 @@
 	if request.MaxEventGap > 0 {
 		request.EventTimes = selection.EventTimesOf(views)
 	}
-	return views, request
+	return request
 }
 
 // begin adds the request to the load of the chosen upstream and sets its rank there.
--- a/internal/request/forwarding/forwarder.go
+++ b/internal/request/forwarding/forwarder.go
@@ -195,19 +195,14 @@
 // prepare sets the fields that serving the request needs, or returns why it
 // cannot be served.
 func (c *call) prepare() *refusal {
-	c.table = c.Table()
-	if c.table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no_routes_known", retryAfter: startRetryAfter}
-	}
-	if c.route = c.table.Route(c.r.Host, c.r.URL.Path); c.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: "no_route"}
+	if refused := c.findRoute(c.r.Host, c.r.URL.Path); refused != nil {
+		return refused
 	}
-	if refused := c.authenticate(); refused != nil {
+	if refused := c.admitAccount(c.table.Account(headers.Key(c.r.Header))); refused != nil {
 		return refused
 	}
-	c.service = c.table.Service(c.route.PickService(rand.Float64()))
-	if c.service == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "service_unknown", retryAfter: startRetryAfter}
+	if refused := c.findService(c.route.PickService(rand.Float64())); refused != nil {
+		return refused
 	}
 	body, err := io.ReadAll(c.r.Body)
 	if err != nil {
@@ -233,8 +228,28 @@
 	return c.decideDispatch()
 }
 
-func (c *call) authenticate() *refusal {
-	account, known := c.table.Account(headers.Key(c.r.Header))
+// findRoute sets the route of the host and the path in the current table.
+func (c *call) findRoute(host, path string) *refusal {
+	c.table = c.Table()
+	if c.table == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no_routes_known", retryAfter: startRetryAfter}
+	}
+	if c.route = c.table.Route(host, path); c.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no_route"}
+	}
+	return nil
+}
+
+func (c *call) findService(name string) *refusal {
+	if c.service = c.table.Service(name); c.service == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "service_unknown", retryAfter: startRetryAfter}
+	}
+	return nil
+}
+
+// admitAccount sets the account, if it is known, or returns why the request is refused
+// without one.
+func (c *call) admitAccount(account routetable.Account, known bool) *refusal {
 	if known {
 		c.account, c.accountPriority = account.Name, account.Priority
 		return nil
@@ -245,13 +260,18 @@
 	return nil
 }
 
-func (c *call) setDeadlines() {
+// setRouteDeadline sets the deadlines of a caller that states none.
+func (c *call) setRouteDeadline() {
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	c.deadline = c.received.Add(timeout)
 	c.callerDeadline = c.deadline
+}
+
+func (c *call) setDeadlines() {
+	c.setRouteDeadline()
 	if left, ok := c.Names.TimeLeft(c.r.Header); ok {
 		c.callerDeadline = c.received.Add(left)
 		if c.callerDeadline.Before(c.deadline) {
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -77,10 +77,8 @@
 		c.refuse(refusal{status: http.StatusBadGateway, reason: "no_answer"})
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout_not_run", retryAfter: busyRetryAfter})
-	case c.sendableIn > 0:
-		c.refuse(c.restrictedRefusal())
 	default:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", retryAfter: busyRetryAfter})
+		c.refuse(c.noUpstream())
 	}
 }
 
--- a/internal/request/forwarding/reservations.go
+++ b/internal/request/forwarding/reservations.go
@@ -43,19 +43,29 @@
 
 // decideDispatch decides how the request is dispatched, or returns why it is refused.
 func (c *call) decideDispatch() *refusal {
-	if c.Reservations == nil {
-		return nil
-	}
-	c.dispatch = c.policyOf(c.table).Decide(dispatch.Request{
-		Route: c.route, Service: c.service, AccountPriority: c.accountPriority,
-		PromptTokens: c.sizes.Prompt, Received: c.received, Deadline: c.deadline,
-	})
+	c.dispatch = c.dispatchDecision()
 	if c.dispatch.InvalidPriority {
 		c.Metrics.invalidInput("priority")
 	}
 	if c.dispatch.InvalidSize {
 		c.Metrics.invalidInput("prompt_tokens")
 	}
+	return c.refuseTooShort()
+}
+
+// dispatchDecision returns how the request is dispatched.
+func (c *call) dispatchDecision() dispatch.Decision {
+	if c.Reservations == nil {
+		return dispatch.Decision{}
+	}
+	return c.policyOf(c.table).Decide(dispatch.Request{
+		Route: c.route, Service: c.service, AccountPriority: c.accountPriority,
+		PromptTokens: c.sizes.Prompt, Received: c.received, Deadline: c.deadline,
+	})
+}
+
+// refuseTooShort refuses a request whose deadline leaves less than its prompt needs.
+func (c *call) refuseTooShort() *refusal {
 	if !c.dispatch.DeadlineTooShort {
 		return nil
 	}
@@ -90,20 +100,53 @@
 	}
 }
 
-// chooseWithRoom chooses an upstream that grants a reservation. A request that can wait
-// does so until one does. The result is false if the request must be sent without a
-// reservation, was rejected, or has ended.
-func (c *call) chooseWithRoom(ctx context.Context) (v directory.View, done func(), ok bool) {
+// searchMode is how an upstream is chosen for a request.
+type searchMode int
+
+const (
+	// searchByScore: the upstream with the lowest score gets the request.
+	searchByScore searchMode = iota
+	// searchForRoom: the best engines are asked for room at once, before searchByScore.
+	searchForRoom
+	// searchByPace is searchForRoom for a long output at a service whose engines are
+	// uneven. All routers prefer the same few fast engines there, and would together
+	// preempt generations.
+	searchByPace
+	// searchInQueue: the request waits in the queue until an engine grants room.
+	searchInQueue
+)
+
+// searchMode returns how an upstream is chosen for the request. The function request
+// returns the request for the selection.
+func (c *call) searchMode(now time.Time, request func() selection.Request) searchMode {
 	switch {
-	case !c.dispatch.CanWait || c.mayHaveRun:
+	case c.dispatch.Enabled && (!c.dispatch.CanWait || c.mayHaveRun):
 		// A request that may have run cannot be rejected as not run, so that it must not
 		// enter the queue.
-		v, done, result := c.reserve(ctx, roomSearch{})
-		return v, done, result == roomGranted
-	case !c.Clock().Before(c.dispatch.SendBy) || !c.Queue.CanHold(len(c.body)):
-		return directory.View{}, nil, false
+		return searchForRoom
+	case c.dispatch.Enabled && (!now.Before(c.dispatch.SendBy) || !c.Queue.CanHold(len(c.body))):
+		return searchByScore
+	case c.dispatch.Enabled:
+		return searchInQueue
+	case c.Reservations == nil || c.route.MaxEventGap <= 0 || c.mayHaveRun:
+		return searchByScore
+	}
+	if r := request(); selection.IsLong(r) && r.EventTimes.AreUneven() {
+		return searchByPace
+	}
+	return searchByScore
+}
+
+// room returns the search for room in the mode. In the queue, it is the first search of
+// a request.
+func (m searchMode) room(headroom float64) roomSearch {
+	switch m {
+	case searchInQueue:
+		return roomSearch{headroom: headroom}
+	case searchByPace:
+		return roomSearch{engines: maxUnevenAsked, skipFull: true}
 	default:
-		return c.waitForRoom(ctx)
+		return roomSearch{}
 	}
 }
 
@@ -120,6 +163,9 @@
 	until time.Time
 }
 
+// maxAsked returns the number of engines that are asked at a time.
+func (s roomSearch) maxAsked() int { return max(maxReservationsAsked, s.engines) }
+
 // ended reports whether no further engine is asked.
 func (s roomSearch) ended(ctx context.Context, now time.Time) bool {
 	return ctx.Err() != nil || !s.until.IsZero() && !now.Before(s.until)
@@ -148,7 +194,7 @@
 	if s.skipFull {
 		c.blockFull(views, request, s.headroom)
 	}
-	for range max(maxReservationsAsked, s.engines) {
+	for range s.maxAsked() {
 		if s.ended(ctx, c.Clock()) || !selection.HasCandidate(views, request) {
 			break
 		}
@@ -162,20 +208,6 @@
 	return directory.View{}, nil, roomRefused
 }
 
-// reserveByPace chooses an upstream that grants a reservation to a long output at a
-// service whose engines are uneven. All routers prefer the same few fast engines there,
-// and would together preempt generations. The result is not roomGranted if the request
-// needs no reservation or if none was granted.
-func (c *call) reserveByPace(ctx context.Context) (directory.View, func(), roomResult) {
-	if c.Reservations == nil || c.route.MaxEventGap <= 0 || c.mayHaveRun {
-		return directory.View{}, nil, roomRefused
-	}
-	if _, request := c.candidates(); !selection.IsLong(request) || !request.EventTimes.AreUneven() {
-		return directory.View{}, nil, roomRefused
-	}
-	return c.reserve(ctx, roomSearch{engines: maxUnevenAsked, skipFull: true})
-}
-
 // promptTokens returns the size of the prompt for which room is needed, in tokens: the one
 // that the policy assumes, or the stated one where the policy is not enabled.
 func (c *call) promptTokens() int {
@@ -189,15 +221,19 @@
 // headroom.
 func (c *call) blockFull(views []directory.View, r selection.Request, headroom float64) {
 	for i := range views {
-		v := &views[i]
-		needed := r
-		needed.Tokens = c.promptTokens() + int(headroom*float64(max(v.MemoryTotal, r.MemoryTokens)))
-		if !selection.HasRoom(v, needed) {
+		if v := &views[i]; !c.hasRoom(v, r, headroom) {
 			v.Blocked = true
 		}
 	}
 }
 
+// hasRoom reports whether the report of the upstream shows room for the request and the
+// headroom.
+func (c *call) hasRoom(v *directory.View, r selection.Request, headroom float64) bool {
+	r.Tokens = c.promptTokens() + int(headroom*float64(max(v.MemoryTotal, r.MemoryTokens)))
+	return selection.HasRoom(v, r)
+}
+
 // reserveAt reports whether the upstream grants a reservation and may get the request.
 func (c *call) reserveAt(ctx context.Context, v directory.View, headroom float64) bool {
 	s := &c.reservation
--- a/internal/request/forwarding/restriction.go
+++ b/internal/request/forwarding/restriction.go
@@ -120,6 +120,14 @@
 	return statedlimit.Upstream{ID: v.ID, Incarnation: v.Incarnation}
 }
 
+// noUpstream returns the refusal of a request that no upstream may get now.
+func (c *call) noUpstream() refusal {
+	if c.sendableIn > 0 {
+		return c.restrictedRefusal()
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", retryAfter: busyRetryAfter}
+}
+
 // restrictedRefusal returns the refusal of a request that no upstream may get for a
 // while. The spread of its delay begins at the time when one may.
 func (c *call) restrictedRefusal() refusal {
--- a/internal/request/forwarding/waiting.go
+++ b/internal/request/forwarding/waiting.go
@@ -75,7 +75,9 @@
 		isFirst := w.place.IsFirst()
 		if isFirst {
 			w.waited = w.Clock().Sub(w.begun)
-			v, done, result := w.reserve(ctx, roomSearch{headroom: w.Headroom, skipFull: w.logged, until: w.dispatch.SendBy})
+			search := searchInQueue.room(w.Headroom)
+			search.skipFull, search.until = w.logged, w.dispatch.SendBy
+			v, done, result := w.reserve(ctx, search)
 			switch result {
 			case roomGranted:
 				return v, done, waitGranted
--- a/internal/version/routetable/routetable.go
+++ b/internal/version/routetable/routetable.go
@@ -131,6 +131,16 @@
 	return a, ok
 }
 
+// AccountNamed returns the account with the name, and whether there is one.
+func (t *Table) AccountNamed(name string) (Account, bool) {
+	for _, a := range t.content.AccountKeys {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
+
 // hostName returns the host in lower case and without a port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
