--- a/cmd/flamingohold/commands.go
+++ b/cmd/flamingohold/commands.go
@@ -35,6 +35,7 @@
 		p.collectCommand(),
 		p.statusCommand(),
 		p.explainCommand(),
+		p.routeCommand(),
 		p.versionCommand(),
 	}
 }
