--- a/internal/process/router/selection/rank_test.go
+++ b/internal/process/router/selection/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -50,3 +51,21 @@
 		require.Less(t, totals[v.ID], ranked[0].Total+MaxJitter)
 	})
 }
+
+func BenchmarkRank(b *testing.B) {
+	for _, engines := range []int{64, 1400} {
+		random := rand.New(rand.NewPCG(1, 2))
+		views := make([]directory.View, engines)
+		for i := range views {
+			views[i] = view(fmt.Sprint(i), "dc-1")
+			views[i].Running = random.IntN(24)
+			views[i].EventTime = time.Duration(20+random.IntN(40)) * time.Millisecond
+		}
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Rank(views, Request{DataCentre: "dc-1", MaxEventGap: gap, OutputEvents: 186})
+			}
+		})
+	}
+}
--- a/internal/request/forwarding/explain.go
+++ b/internal/request/forwarding/explain.go
@@ -193,9 +193,10 @@
 		if !v.Blocked {
 			continue
 		}
-		x := explanation.Exclusion{ID: v.ID, DataCentre: v.DataCentre, Reason: explanation.RateUsedUp}
-		if left := c.Gate.PauseLeft(*v); left > 0 {
-			x.Reason, x.TimeLeft = explanation.Paused, explanation.Milliseconds(left)
+		left := c.Gate.PauseLeft(*v)
+		x := explanation.Exclusion{ID: v.ID, DataCentre: v.DataCentre, Reason: explanation.Paused, TimeLeft: explanation.Milliseconds(left)}
+		if left <= 0 && v.Cold {
+			x.Reason = explanation.RateUsedUp
 		}
 		e.Excluded = append(e.Excluded, x)
 	}
--- a/internal/request/forwarding/explain_test.go
+++ b/internal/request/forwarding/explain_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/process/directory"
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/router/explanation"
 	"github.com/flamingohold/flamingohold/internal/process/router/sendgate"
 	"github.com/flamingohold/flamingohold/internal/process/router/statedlimit"
@@ -181,6 +182,26 @@
 	}, reasons)
 }
 
+// Guards against an explanation that takes the token of a cold upstream, and against one
+// that names no cause once a request has taken it.
+func TestExplanationOfColdUpstream(t *testing.T) {
+	h, _ := newCompetingHarness(t, grant)
+	d := directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0.001, true })
+	d.Upsert(directory.Entry{
+		ID: "u-1", Service: "desk", Address: "127.0.0.1:1", DataCentre: "dc-1", ConcurrencyLimit: 24, Incarnation: 1, ColdDuration: time.Hour,
+	}, time.Now())
+	h.forwarder.Directory = d
+	for range 5 {
+		e := h.forwarder.Explain(draftQuery)
+		require.Empty(t, e.Excluded)
+		require.Greater(t, e.Engines[0].Parts.Cold, 0.0)
+	}
+	require.True(t, d.Admit("u-1", time.Now()), "the only token is still there")
+	e := h.forwarder.Explain(draftQuery)
+	require.Equal(t, []explanation.Exclusion{{ID: "u-1", DataCentre: "dc-1", Reason: explanation.RateUsedUp}}, e.Excluded)
+	require.Equal(t, "no_upstream", e.Reason)
+}
+
 // Guards against an answer that grows with the number of engines.
 func TestExplanationIsBounded(t *testing.T) {
 	h, _ := newCompetingHarness(t, grant)
