--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -76,20 +76,35 @@
 // directory. The function done must be called when the request has ended there.
 func (c *call) chooseUpstream(ctx context.Context) (v directory.View, done func(), ok bool) {
 	c.reservation = reservationState{}
-	if c.dispatch.Enabled {
-		v, done, ok := c.chooseWithRoom(ctx)
-		if ok || c.rejection != nil || ctx.Err() != nil {
+	var views []directory.View
+	var request selection.Request
+	mode := c.searchMode(c.Clock(), func() selection.Request {
+		views, request = c.candidates()
+		return request
+	})
+	switch mode {
+	case searchInQueue:
+		v, done, ok = c.waitForRoom(ctx)
+		if ok || c.rejection != nil {
 			return v, done, ok
 		}
-		return c.chooseByScore(ctx)
-	}
-	views, request := c.candidates()
-	if !c.reservesByPace(request) {
-		return c.chooseAmong(ctx, views, request)
+	case searchForRoom:
+		v, done, result := c.reserve(ctx, mode.room(c.Headroom))
+		if result == roomGranted {
+			return v, done, true
+		}
+	case searchByPace:
+		v, done, result := c.reserveAmong(ctx, views, request, mode.room(c.Headroom))
+		if result == roomGranted || ctx.Err() != nil {
+			return v, done, result == roomGranted
+		}
+	case searchByScore:
+		if views != nil {
+			return c.chooseAmong(ctx, views, request)
+		}
 	}
-	v, done, result := c.reserveAmong(ctx, views, request, roomSearch{engines: maxUnevenAsked, skipFull: true})
-	if result == roomGranted || ctx.Err() != nil {
-		return v, done, result == roomGranted
+	if c.dispatch.Enabled && ctx.Err() != nil {
+		return directory.View{}, nil, false
 	}
 	return c.chooseByScore(ctx)
 }
@@ -119,6 +134,12 @@
 // selection of one that was not tried.
 func (c *call) candidates() ([]directory.View, selection.Request) {
 	views := c.Directory.Service(c.service.Name, c.Clock())
+	return views, c.selectionOf(views)
+}
+
+// selectionOf blocks the views that have asked for a pause, and returns the request for
+// the selection of one that was not tried.
+func (c *call) selectionOf(views []directory.View) selection.Request {
 	c.blockPaused(views)
 	request := selection.Request{
 		DataCentre: c.DataCentre, Tokens: c.sizes.Prompt, MemoryTokens: c.memoryTokens(), Exclude: c.tried,
@@ -127,7 +148,7 @@
 	if request.MaxEventGap > 0 {
 		request.EventTimes = selection.EventTimesOf(views)
 	}
-	return views, request
+	return request
 }
 
 // begin adds the request to the load of the chosen upstream and sets its rank there.
