--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -76,7 +76,7 @@
 	MaxPipelinedRequests int `json:"max_pipelined_requests,omitempty" help:"maximum number of requests of a connection without a complete response, 0 for 32"`
 	// MaxReceivedBytes limits the memory of all requests in progress of a listener, 0
 	// for a quarter of MemoryMB, or for 256 MiB if that is unknown.
-	MaxReceivedBytes int `json:"max_received_bytes,omitempty" help:"maximum memory in bytes of the requests in progress at an address, 0 for a quarter of memory_mb, or 256 MiB if that is 0"`
+	MaxReceivedBytes int `json:"max_received_bytes,omitempty" help:"maximum memory in bytes of the requests in progress at an address, 0 for a quarter of memory_mb (at least one request of the largest size), or 256 MiB if that is 0"`
 	// MaxUnsentBytes limits the unsent responses of all connections of a listener, 0
 	// for an eighth of MemoryMB, or for 128 MiB if that is unknown.
 	MaxUnsentBytes int `json:"max_unsent_bytes,omitempty" help:"unsent bytes of the responses at an address above which responses wait for their callers, 0 for an eighth of memory_mb, or 128 MiB if that is 0"`
