--- a/internal/connection/bytemeter/bytemeter.go
+++ b/internal/connection/bytemeter/bytemeter.go
@@ -86,25 +86,25 @@
 	state state
 	// header, line, fields and empty count towards the limits.
 	header, line, fields, empty int
-	// last is the last byte that was cut off.
+	// last is the last byte of the latest piece.
 	last byte
-	// framed is true once the parser has seen the end of the header.
-	framed  bool
-	chunked bool
+	// headerEnded is true once the parser has seen the end of the header.
+	headerEnded bool
+	chunked     bool
 	// remaining is the number of bytes left of a body, or of a chunk and its end.
 	remaining int64
-	// size is the size of the next chunk, and sized true once it is complete.
-	size  int64
-	sized bool
+	// size is the size of the next chunk, and sizeComplete true once it is complete.
+	size         int64
+	sizeComplete bool
 }
 
-// AtStart reports whether no byte of a request has been cut off.
+// AtStart reports whether no piece of a request has been returned.
 func (m *Meter) AtStart() bool { return m.state == stateStart }
 
 // EndHeader records that the parser has seen the end of a header. length is the
 // size of the body, not positive if there is none or it is chunked.
 func (m *Meter) EndHeader(length int, chunked bool) {
-	m.framed, m.chunked, m.remaining = true, chunked, int64(length)
+	m.headerEnded, m.chunked, m.remaining = true, chunked, int64(length)
 }
 
 // EndRequest records that the parser has seen the end of a request.
@@ -112,7 +112,7 @@
 
 // Next returns the next piece of the data, which must not be empty.
 func (m *Meter) Next(data []byte, l Limits) Piece {
-	if m.framed && m.last == '\n' {
+	if m.headerEnded && m.last == '\n' {
 		m.beginBody()
 	}
 	var p Piece
@@ -133,7 +133,7 @@
 }
 
 func (m *Meter) beginBody() {
-	m.framed, m.line = false, 0
+	m.headerEnded, m.line = false, 0
 	// The empty line at the end of the header is no field, and a trailer may follow.
 	m.fields--
 	m.state = stateBody
@@ -142,7 +142,7 @@
 	}
 }
 
-func (m *Meter) beginChunk() { m.state, m.line, m.size, m.sized = stateChunkLine, 0, 0, false }
+func (m *Meter) beginChunk() { m.state, m.line, m.size, m.sizeComplete = stateChunkLine, 0, 0, false }
 
 // start skips empty lines.
 func (m *Meter) start(data []byte, l Limits) Piece {
@@ -224,8 +224,8 @@
 	case b >= 'A' && b <= 'F':
 		digit = int64(b-'A') + 10
 	}
-	if digit < 0 || m.sized {
-		m.sized = true
+	if digit < 0 || m.sizeComplete {
+		m.sizeComplete = true
 		return
 	}
 	if m.size < 1<<56 {
--- a/internal/connection/listener/connection.go
+++ b/internal/connection/listener/connection.go
@@ -31,8 +31,8 @@
 
 const (
 	// requestBytes and fieldBytes are the memory that a request and each line of its
-	// header take in addition to their bytes, in the listener and in the handler:
-	// 150 requests of 2,300 fields of 7 bytes took 105 MB in a router.
+	// header take in addition to their bytes, in the listener and in the handler.
+	// Requests of thousands of short fields take many times their bytes.
 	requestBytes = 2 << 10
 	fieldBytes   = 320
 	// modestBytes is the memory of a connection's requests up to which they are still
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -63,7 +63,7 @@
 	// line, so that a header of one line exceeds the header's bound first.
 	lineSlackBytes = 128
 	// pooledBufferBytes bounds the buffers that the library keeps for later use. It
-	// takes any of them for a few bytes, so a larger bound would let one connection
+	// uses buffers of any size for a few bytes, so a larger bound would let one connection
 	// hold the memory of another one's body.
 	pooledBufferBytes = 4 << 10
 	// peerMessageOverheadBytes bounds the fields of a peer message other than the
--- a/internal/process/reservation/reservations.go
+++ b/internal/process/reservation/reservations.go
@@ -40,14 +40,15 @@
 	// prefillPeriod is the time that an engine is expected to need for a prompt beside
 	// running generations.
 	prefillPeriod = 400 * time.Millisecond
-	// defaultGrowth is the tokens per second by which a run grows before reports show
-	// it: 4 tokens per event and 30 ms between events.
+	// defaultGrowth is the assumed growth of a run in tokens per second until reports
+	// show it: 4 tokens per event and 30 ms between events.
 	defaultGrowth = 133
 	// maxGrowth bounds a sample of the growth in tokens per second. An engine that
 	// makes 4 tokens in 7 ms makes 571, and 16 tokens that are allocated at once look
 	// like 1,067 between two reports; more is a prompt.
 	maxGrowth = 2000
-	// minElapsed is assumed between reports of the same time, to divide by.
+	// minElapsed is assumed between reports of the same time, as a rate needs a time
+	// above 0.
 	minElapsed = time.Microsecond
 	// minRetryIn is the time between two reports, before which nothing changes.
 	minRetryIn = 15 * time.Millisecond
--- a/internal/process/router/dispatch/dispatch.go
+++ b/internal/process/router/dispatch/dispatch.go
@@ -36,11 +36,11 @@
 // Policy is the policy of one version of the route table. It is immutable.
 type Policy struct {
 	// services holds the services for which the policy is enabled.
-	services map[string]urgent
+	services map[string]urgentRoutes
 }
 
-// urgent describes the most urgent streaming routes of a service.
-type urgent struct {
+// urgentRoutes describes the most urgent streaming routes of a service.
+type urgentRoutes struct {
 	priority int
 	// target is the shortest latency target of these routes.
 	target time.Duration
@@ -48,13 +48,13 @@
 
 // New returns the policy of the route table.
 func New(t *routetable.Table) *Policy {
-	p := &Policy{services: make(map[string]urgent)}
-	mostUrgent := make(map[string]urgent)
+	p := &Policy{services: make(map[string]urgentRoutes)}
+	mostUrgent := make(map[string]urgentRoutes)
 	eachStream(t, func(r *route.Route, service string) {
 		u, known := mostUrgent[service]
 		priority, _ := clamp(r.Priority)
 		if !known || priority < u.priority || priority == u.priority && r.LatencyTarget < u.target {
-			mostUrgent[service] = urgent{priority: priority, target: r.LatencyTarget}
+			mostUrgent[service] = urgentRoutes{priority: priority, target: r.LatencyTarget}
 		}
 	})
 	eachStream(t, func(r *route.Route, service string) {
@@ -86,7 +86,7 @@
 
 // allowsWait reports whether a request of the route with the priority can wait for
 // the most urgent ones.
-func (u urgent) allowsWait(r *route.Route, priority int) bool {
+func (u urgentRoutes) allowsWait(r *route.Route, priority int) bool {
 	return r.Kind == route.Streaming && priority > u.priority && r.LatencyTarget >= u.target+minTargetExcess
 }
 
--- a/internal/process/router/explanation/explanation.go
+++ b/internal/process/router/explanation/explanation.go
@@ -35,8 +35,8 @@
 	Service  string  `json:"service,omitempty"`
 	Services []Share `json:"services,omitempty"`
 	Account  string  `json:"account,omitempty"`
-	// PolicyEnabled is true if requests of the service are ranked and may wait.
-	// Priority and Rank are absent otherwise, because nothing depends on them.
+	// PolicyEnabled is true if the policy of package dispatch is enabled for the service.
+	// Otherwise requests are sent without a rank, and Priority and Rank are absent.
 	PolicyEnabled bool `json:"policy_enabled"`
 	Priority      *int `json:"priority,omitempty"`
 	Rank          *int `json:"rank,omitempty"`
--- a/internal/process/router/selection/pace_test.go
+++ b/internal/process/router/selection/pace_test.go
@@ -103,9 +103,9 @@
 		slower.EventTime += drawEventTime(t, "more")
 		require.GreaterOrEqual(t, pacePenalty(&slower, r, known), penalty)
 		if r.OutputEvents >= minPacedEvents {
-			patient := r
-			patient.MaxEventGap += drawEventTime(t, "patience")
-			require.LessOrEqual(t, pacePenalty(&v, patient, known), penalty)
+			wider := r
+			wider.MaxEventGap += drawEventTime(t, "additional gap")
+			require.LessOrEqual(t, pacePenalty(&v, wider, known), penalty)
 			require.GreaterOrEqual(t, penalty, 0.0)
 			require.LessOrEqual(t, penalty, maxSlowPenalty)
 			require.Less(t, penalty, suspectPenalty)
--- a/internal/process/router/selection/selection.go
+++ b/internal/process/router/selection/selection.go
@@ -133,7 +133,7 @@
 }
 
 // score returns the score of the upstream without its random part, and sets its parts
-// unless parts is nil. Parts as a result would make Choose 1.2 to 1.9 times as slow.
+// unless parts is nil. Returning them would slow Choose down, which does not need them.
 func score(v *directory.View, r *Request, o *serviceSummary, parts *Parts) float64 {
 	load := o.estimatedLoad(v, r.MemoryTokens)
 	pressure := memoryPressure(v, r)
--- a/internal/process/router/waitqueue/waitqueue.go
+++ b/internal/process/router/waitqueue/waitqueue.go
@@ -122,30 +122,30 @@
 // makeSpace rejects as many requests as the new one needs, but none before it in
 // order. It returns false without a rejection if these are too few.
 func (q *Queue) makeSpace(p *Place, now time.Time) bool {
-	victims, ok := q.victims(p)
-	for _, victim := range victims {
-		q.remove(victim)
-		victim.retryAfter = q.delay(victim.request, now)
-		close(victim.rejected)
+	rejected, ok := q.rejections(p)
+	for _, r := range rejected {
+		q.remove(r)
+		r.retryAfter = q.delay(r.request, now)
+		close(r.rejected)
 	}
 	return ok
 }
 
-// victims returns the places that makeSpace rejects, and false if these are too few.
-func (q *Queue) victims(p *Place) (victims []*Place, ok bool) {
+// rejections returns the places that makeSpace rejects, and false if these are too few.
+func (q *Queue) rejections(p *Place) (rejected []*Place, ok bool) {
 	requests, bytes := q.requests+1, q.bytes+p.request.Bytes
 	taken := make(map[string]int, len(q.services))
 	for requests > q.bounds.Requests || bytes > q.bounds.Bytes {
-		victim := q.last(taken)
-		if victim == nil || victim.before(p) {
+		candidate := q.last(taken)
+		if candidate == nil || candidate.before(p) {
 			return nil, false
 		}
-		taken[victim.request.Service]++
-		victims = append(victims, victim)
+		taken[candidate.request.Service]++
+		rejected = append(rejected, candidate)
 		requests--
-		bytes -= victim.request.Bytes
+		bytes -= candidate.request.Bytes
 	}
-	return victims, true
+	return rejected, true
 }
 
 // Outlook is what Join would do with a request.
@@ -162,7 +162,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := &Place{queue: q, request: r, sequence: q.sequence + 1}
-	_, ok := q.victims(p)
+	_, ok := q.rejections(p)
 	return Outlook{IsFull: !ok, Ahead: q.position(p), Queued: q.requests}
 }
 
