--- a/internal/process/router/selection/rank.go
+++ b/internal/process/router/selection/scores.go
@@ -29,21 +29,21 @@
 	Total float64
 }
 
-// Rank returns the upstreams that Choose may return in ascending order of their scores
+// Scores returns the upstreams that Choose may return in ascending order of their scores
 // without the random part, and of their IDs where scores are equal. Choose may return
 // any whose score is less than MaxJitter above the first.
-func Rank(views []directory.View, r Request) []Scored {
+func Scores(views []directory.View, r Request) []Scored {
 	summary := summarise(views, r)
-	ranked := make([]Scored, 0, len(views))
+	scores := make([]Scored, 0, len(views))
 	for i := range views {
 		if v := &views[i]; isCandidate(v, &r) {
 			scored := Scored{View: *v}
 			scored.Total = score(v, &r, &summary, &scored.Parts)
-			ranked = append(ranked, scored)
+			scores = append(scores, scored)
 		}
 	}
-	slices.SortFunc(ranked, func(a, b Scored) int {
+	slices.SortFunc(scores, func(a, b Scored) int {
 		return cmp.Or(cmp.Compare(a.Total, b.Total), cmp.Compare(a.View.ID, b.View.ID))
 	})
-	return ranked
+	return scores
 }
--- a/internal/process/router/selection/rank_test.go
+++ b/internal/process/router/selection/scores_test.go
@@ -14,7 +14,7 @@
 
 // Guards against an order that differs from the choices that it explains: Choose returns
 // the first upstream without chance, and with it only one within MaxJitter of the first.
-func TestRankAgreesWithChoose(t *testing.T) {
+func TestScoresAgreeWithChoose(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		views := make([]directory.View, rapid.IntRange(0, 12).Draw(t, "engines"))
 		for i := range views {
@@ -32,7 +32,7 @@
 			DataCentre: "dc-1", Tokens: 3_000, MemoryTokens: 30_000, OutputEvents: rapid.IntRange(0, 20).Draw(t, "events"),
 			MaxEventGap: gap, Exclude: map[string]bool{"0": true},
 		}
-		ranked := Rank(views, r)
+		ranked := Scores(views, r)
 		first, ok := Choose(views, r, func() float64 { return 0 })
 		require.Equal(t, len(ranked) > 0, ok)
 		if !ok {
@@ -52,7 +52,7 @@
 	})
 }
 
-func BenchmarkRank(b *testing.B) {
+func BenchmarkScores(b *testing.B) {
 	for _, engines := range []int{64, 1400} {
 		random := rand.New(rand.NewPCG(1, 2))
 		views := make([]directory.View, engines)
@@ -64,7 +64,7 @@
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				Rank(views, Request{DataCentre: "dc-1", MaxEventGap: gap, OutputEvents: 186})
+				Scores(views, Request{DataCentre: "dc-1", MaxEventGap: gap, OutputEvents: 186})
 			}
 		})
 	}
--- a/internal/request/forwarding/explain.go
+++ b/internal/request/forwarding/explain.go
@@ -111,10 +111,10 @@
 	request := c.selectionOf(views)
 	c.explainExcluded(views, unusable, e)
 	mode := c.searchMode(c.received, func() selection.Request { return request })
-	ranked := selection.Rank(views, request)
+	scores := selection.Scores(views, request)
 	e.TieMargin = selection.MaxJitter
 	search := mode.room(c.Headroom)
-	asked, hasRoom := c.explainEngines(ranked, request, mode, search, e)
+	asked, hasRoom := c.explainEngines(scores, request, mode, search, e)
 	if mode != searchByScore {
 		e.Reservation = &explanation.Reservation{Engines: search.maxAsked(), Headroom: search.headroom}
 	}
@@ -123,7 +123,7 @@
 			return refused
 		}
 	}
-	if len(ranked) == 0 {
+	if len(scores) == 0 {
 		refused := c.noUpstream()
 		return &refused
 	}
@@ -154,10 +154,10 @@
 
 // explainEngines sets the upstreams that may get the request. It returns how many would be
 // asked for room, and whether the report of one of these shows room.
-func (c *call) explainEngines(ranked []selection.Scored, r selection.Request, m searchMode, s roomSearch, e *explanation.Explanation) (asked int, hasRoom bool) {
-	for i := range ranked {
-		engine := c.explainEngine(&ranked[i], r, s)
-		engine.IsTied = i > 0 && ranked[i].Total < ranked[0].Total+selection.MaxJitter
+func (c *call) explainEngines(scores []selection.Scored, r selection.Request, m searchMode, s roomSearch, e *explanation.Explanation) (asked int, hasRoom bool) {
+	for i := range scores {
+		engine := c.explainEngine(&scores[i], r, s)
+		engine.IsTied = i > 0 && scores[i].Total < scores[0].Total+selection.MaxJitter
 		if m != searchByScore && asked < s.maxAsked() && (engine.HasRoom || !s.skipFull) {
 			engine.IsAsked = true
 			asked++
@@ -167,7 +167,7 @@
 			e.Engines = append(e.Engines, engine)
 		}
 	}
-	e.EnginesOmitted = len(ranked) - len(e.Engines)
+	e.EnginesOmitted = len(scores) - len(e.Engines)
 	return asked, hasRoom
 }
 
