--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -16,12 +16,12 @@
 
 const (
 	// partsCallers is the number of callers at each router, each with one request at a time.
-	partsCallers = 12
+	partsCallers = 20
 	// partsBytes is the size of the identifier of the shared part of a prompt. The header
 	// stays below max_header_bytes, which is 16,384.
 	partsBytes = 15_000
-	// partsSeconds is how long the callers come.
-	partsSeconds = 60
+	// partsSeconds is how long the callers come, unless each router has ended twice before.
+	partsSeconds = 90
 )
 
 // engineConfig is a configuration with a service of model workers and a plain one.
@@ -133,7 +133,7 @@
 	for i, v := range all {
 		for k := range partsCallers {
 			callers.Go(func() {
-				for n := 0; time.Now().Before(end); n++ {
+				for n := 0; time.Now().Before(end) && !shown(all); n++ {
 					result := v.match(fmt.Sprintf("%d-%d-%d", i, k, n), size)
 					mu.Lock()
 					answers[result]++
@@ -148,6 +148,19 @@
 	return verdict(r, all), nil
 }
 
+// shown reports whether each process has ended twice.
+func shown(all []*supervisor) bool {
+	for _, v := range all {
+		v.mu.Lock()
+		ends := v.ends
+		v.mu.Unlock()
+		if ends < 2 {
+			return false
+		}
+	}
+	return true
+}
+
 // match sends one request on a new channel and returns what came.
 func (s *supervisor) match(id string, size int) string {
 	c, err := net.DialTimeout("tcp", hostPort(s.m.ip, s.p.front), time.Second)
--- a/review/standin-2/unread.go
+++ b/review/standin-2/unread.go
@@ -66,7 +66,9 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		now, _ := memoryOf(s.process.cmd.Process.Pid)
+		s.mu.Lock()
 		s.peak = max(s.peak, now)
+		s.mu.Unlock()
 		over := now > int64(s.m.memoryMB)<<20
 		if !over && s.process.alive() {
 			continue
@@ -74,7 +76,9 @@
 		s.r.printf("%s: %d MB resident of %d: ended by the platform %v", s.m.name, now>>20, s.m.memoryMB, over)
 		_ = s.process.cmd.Process.Signal(syscall.SIGKILL)
 		<-s.process.ended
+		s.mu.Lock()
 		s.ends++
+		s.mu.Unlock()
 		time.Sleep(300 * time.Millisecond)
 		next, err := start(s.dir, "router", s.m, s.p)
 		if err != nil {
@@ -142,12 +146,12 @@
 		time.Sleep(time.Second)
 		for _, v := range all {
 			v.mu.Lock()
-			pr := v.process
+			pr, peak, ends := v.process, v.peak, v.ends
 			v.mu.Unlock()
 			if err := pr.awaitReady(10 * time.Second); err != nil {
 				r.printf("%v", err)
 			}
-			r.printf("%s: round %d, peak %d MB of %d, ended %d times so far; one ordinary request: %s", v.m.name, round+1, v.peak>>20, v.m.memoryMB, v.ends,
+			r.printf("%s: round %d, peak %d MB of %d, ended %d times so far; one ordinary request: %s", v.m.name, round+1, peak>>20, v.m.memoryMB, ends,
 				ordinary(pr.front, fmt.Sprintf("o%d-%s", round, v.m.name)))
 		}
 	}
