--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -16,7 +16,7 @@
 
 const (
 	// partsCallers is the number of callers at each router, each with one request at a time.
-	partsCallers = 20
+	partsCallers = 30
 	// partsBytes is the size of the identifier of the shared part of a prompt. The header
 	// stays below max_header_bytes, which is 16,384.
 	partsBytes = 15_000
