Routers: an answer with a status out of range is not an answer

What callers saw: a worker in trouble sent an answer with status 000. In a test against such a worker a router held the request to its deadline (504), or took the bytes behind the head for the answer. Statuses 101 and 600 to 999 were passed on as they were.

Cause: the parser of the standard library takes each status of three characters that form a number, also 000, -00 and +20. connection.receive counted every status below 200 but 101 as an interim answer, which has no body, and read on behind its head; 101 and all above 200 were answers.

Change: package answerhead checks the bytes of a head while they are received, before they are parsed. A status line that is not "HTTP/1.x NNN", a status outside 100 to 599, and 101, which no request asks for, end the connection with an error. So the request counts as sent and unanswered: what may be repeated goes to another upstream, an order gets 502 "outcome unknown" and is not sent again.

Ruled out: a check of the parsed status.

Measured: TestAnswerWithAMalformedHeadIsNotPassedOn has nine forms on four kinds of routes. All pass now. FuzzAnswer cannot run for long, before or after: it opens a listener for each input and uses up the local ports (28,372 in TIME_WAIT); its inputs in the source pass.

--- /dev/null
+++ b/internal/connection/answerhead/doc.go
@@ -0,0 +1,8 @@
+// Package answerhead checks the heads of HTTP/1.1 answers while they are received, before
+// they are parsed.
+//
+// The parser of the standard library takes every status of three characters that form a
+// number, such as 000, and its client passes it on as the status of an answer. It is used
+// by all clients of upstreams and of other processes. A malformed head is an error of the
+// connection, so that nothing of the answer is used.
+package answerhead
--- a/internal/connection/upstreamclient/connection.go
+++ b/internal/connection/upstreamclient/connection.go
@@ -39,8 +39,8 @@
 	pool    *Pool
 	address string
 	socket  net.Conn
-	// source bounds what reader reads of a head.
-	source *headLimit
+	// source bounds and checks what reader reads of a head.
+	source *headSource
 	reader *bufio.Reader
 	// idleTimeout is how long the peer keeps an idle connection open.
 	idleTimeout time.Duration
@@ -53,7 +53,7 @@
 }
 
 func newConnection(p *Pool, address string, socket net.Conn) *connection {
-	source := &headLimit{source: socket}
+	source := &headSource{source: socket}
 	return &connection{
 		pool: p, address: address, socket: socket, source: source,
 		reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdle,
@@ -159,18 +159,16 @@
 }
 
 // receive reads the head of the answer to the request. It discards interim (1xx)
-// answers and answers to other requests.
+// answers and answers to other requests. A malformed head is an error.
 func (c *connection) receive(r *Request) (*http.Response, error) {
 	first := !c.used
 	c.used = true
 	for range maxUnrelatedAnswers {
-		c.source.limit(maxHeadBytes)
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.source.release()
+		response, err := c.readHead(r)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.belongs(response.Header, first) {
@@ -184,6 +182,20 @@
 	return nil, errUnrelatedAnswers
 }
 
+// readHead reads the next head, of an interim answer or of one to any request.
+func (c *connection) readHead(r *Request) (*http.Response, error) {
+	// Peek returns what is buffered without reading.
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.source.begin(maxHeadBytes, buffered); err != nil {
+		return nil, err
+	}
+	defer c.source.end()
+	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+}
+
 // discardUnrelated reads an answer to another request to its end. It returns an
 // error if the end cannot be determined or the body is too large.
 func discardUnrelated(response *http.Response) error {
--- a/internal/connection/upstreamclient/head_test.go
+++ b/internal/connection/upstreamclient/head_test.go
@@ -23,6 +23,8 @@
 		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nKeep-Alive: timeout=999999999999\r\n\r\n",
 		"HTTP/9.9 999999 \r\n\r\n", "\x00\xff", "",
+		"HTTP/1.1 000 Error\r\nRequest-Id: r\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\nRequest-Id: r\r\n\r\n",
 	} {
 		f.Add([]byte(head))
 	}
@@ -54,6 +56,8 @@
 		}
 		defer answer.Close()
 		require.Contains(t, []string{"", "r"}, answer.Header.Get("Request-Id"))
+		require.GreaterOrEqual(t, answer.Status, http.StatusOK)
+		require.Less(t, answer.Status, 600)
 		body, err := answer.Body(1 << 20)
 		if err == nil {
 			require.LessOrEqual(t, len(body), len(written))
--- /dev/null
+++ b/internal/request/forwarding/malformed_test.go
@@ -0,0 +1,77 @@
+package forwarding
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
+)
+
+const (
+	// malformedBody is the body of answers that must not reach a caller.
+	malformedBody = "malformed"
+	// identity are the fields that mark an answer as the upstream's own. ID stands for
+	// the identifier of the request.
+	identity = "Seal: s\r\nRequest-Id: ID\r\n"
+)
+
+// malformedAnswers are answers whose head is malformed, by their form. ID stands for the
+// identifier of the request.
+func malformedAnswers() map[string]string {
+	sound := "HTTP/1.1 200 OK\r\n" + identity + "Content-Length: 9\r\n\r\n" + malformedBody
+	answers := map[string]string{
+		"answer in the body of status 000": "HTTP/1.1 000 Error\r\nContent-Length: 99\r\n\r\n" + sound,
+		"answer behind status 101":         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + sound,
+	}
+	for _, status := range []string{"000", "-00", "+20", "099", "101", "600", "999"} {
+		answers["status "+status] = "HTTP/1.1 " + status + " Error\r\n" + identity + "Content-Length: 9\r\n\r\n" + malformedBody
+	}
+	return answers
+}
+
+// writeUnchanged returns an upstream that writes the answer as it is.
+func writeUnchanged(answer string) http.HandlerFunc {
+	return rawanswer.Handler(func(r *http.Request) string {
+		return strings.ReplaceAll(answer, "ID", r.Header.Get(testNames.RequestID))
+	})
+}
+
+// Guards against answers with a malformed head that reach callers: a worker in trouble sent
+// them, and they were passed on, or bytes behind them were taken for the answer. What may be
+// repeated is answered by another upstream; what may not is sent once.
+func TestAnswerWithAMalformedHeadIsNotPassedOn(t *testing.T) {
+	routes := map[string]struct {
+		repeatable bool
+		sound      http.HandlerFunc
+	}{
+		"look": {true, answerWith(http.StatusOK, "sound")}, "order": {false, answerWith(http.StatusOK, "sound")},
+		"match": {true, streamEvents(1, 3, false)}, "draft": {false, streamEvents(1, 3, false)},
+	}
+	for name, answer := range malformedAnswers() {
+		for route, expected := range routes {
+			t.Run(name+"/"+route, func(t *testing.T) {
+				t.Parallel()
+				var sound atomic.Int32
+				h := newHarness(t, writeUnchanged(answer), func(w http.ResponseWriter, r *http.Request) {
+					sound.Add(1)
+					expected.sound(w, r)
+				})
+				response := h.do(h.request(http.MethodPost, "/"+route+"/x", ""))
+				body := bodyOf(t, response)
+				require.NotContains(t, body, malformedBody)
+				if expected.repeatable {
+					require.Equal(t, http.StatusOK, response.StatusCode, body)
+					require.Equal(t, "seal-of-u-2", response.Header.Get(testNames.Seal))
+					return
+				}
+				require.Equal(t, http.StatusBadGateway, response.StatusCode, body)
+				require.Empty(t, response.Header.Get(testNames.Seal))
+				require.Zero(t, sound.Load(), "the request may have run")
+			})
+		}
+	}
+}
