Gateways and sidecars: an answer with a status out of range is not an answer

What callers would have seen in the product's own deployment: an order whose service answered with status 000 counted as answered, and that answer was stored for its key; an engine's 000 was its refusal of the request. Beside callers, a control request to an engine, the cancellation of a generation and calls between gateways and sidecars succeeded with it.

Cause: the client of the standard library passes on every three characters that form a number as the status, and these callers compare it with 300 or 400 only.

Change: the connections of these clients check heads with package answerhead. An order has an unknown outcome then, as after a reset. The clients of the configuration service and of the instance list keep connections; they send no bodies, so a write behind a head starts the next one. They accept single statuses only and were not affected; a malformed head now ends their call.

Left as it is: the gateway answers 502 to a frame of a sidecar with such a status, as before. The commands that query a process accept status 200 only.

Measured: the new tests of serviceclient, engine, enginecontrol and sidecarclient failed before and pass; the tests of gateway, sidecar, configwatch and instancelist pass.

--- a/internal/connection/engine/engine.go
+++ b/internal/connection/engine/engine.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 )
 
 const (
@@ -38,7 +40,7 @@
 	return &Client{
 		address: address,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:           answerhead.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			DisableKeepAlives:     true,
 			DisableCompression:    true,
 			ResponseHeaderTimeout: headerTimeout,
--- a/internal/connection/engine/engine_test.go
+++ b/internal/connection/engine/engine_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/engine"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 // serve returns a client of a server that answers every request with the body.
@@ -129,3 +131,14 @@
 	}
 	require.Equal(t, want, metrics)
 }
+
+// Guards against an answer with a malformed head that counts as the engine's refusal, which
+// callers get, or as the success of a cancellation.
+func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
+	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")))
+	defer server.Close()
+	client := engine.New(strings.TrimPrefix(server.URL, "http://"))
+	_, err := client.Start(t.Context(), "/v1/completions", []byte("{}"), "g", 0)
+	require.ErrorIs(t, err, answerhead.ErrMalformed)
+	require.ErrorIs(t, client.Cancel(t.Context(), "g"), answerhead.ErrMalformed)
+}
--- a/internal/connection/enginecontrol/enginecontrol.go
+++ b/internal/connection/enginecontrol/enginecontrol.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 )
 
 const (
@@ -72,7 +74,7 @@
 		fence:         fence,
 		checksFencing: checksFencing,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:       answerhead.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			DisableKeepAlives: true,
 		}},
 	}
--- a/internal/connection/enginecontrol/enginecontrol_test.go
+++ b/internal/connection/enginecontrol/enginecontrol_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/enginecontrol"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 // fakeEngine is an engine that accepts control requests.
@@ -109,3 +111,12 @@
 	takenOver.beforeEffect = func() { takenOver.fence = 7 }
 	require.ErrorIs(t, newClient(t, takenOver, 1).Load(context.Background(), "m"), enginecontrol.ErrFenced)
 }
+
+// Guards against an answer with a malformed head that counts as the success of a control
+// request.
+func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
+	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")))
+	defer server.Close()
+	client := enginecontrol.New(strings.TrimPrefix(server.URL, "http://"), 5, true)
+	require.ErrorIs(t, client.Load(t.Context(), "m"), answerhead.ErrMalformed)
+}
--- a/internal/connection/serviceclient/serviceclient.go
+++ b/internal/connection/serviceclient/serviceclient.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/bodyend"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/headers"
@@ -57,7 +58,7 @@
 	return &Client{
 		address: address,
 		transport: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        answerhead.Dial(dialer.DialContext),
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		},
--- a/internal/connection/serviceclient/serviceclient_test.go
+++ b/internal/connection/serviceclient/serviceclient_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/serviceclient"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 func booking() *attempt.Request {
@@ -136,3 +138,15 @@
 		require.Equal(t, "half", string(answer.Body))
 	}
 }
+
+// Guards against an answer with a malformed head that is passed on: its status and its
+// length cannot be relied on, and the service may have run the request.
+func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 Error", "HTTP/1.1 +20 Error", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Error"} {
+		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always(head + "\r\nContent-Length: 2\r\n\r\nok")))
+		defer server.Close()
+		_, err := serviceclient.New(strings.TrimPrefix(server.URL, "http://")).Call(t.Context(), booking())
+		require.ErrorIs(t, err, answerhead.ErrMalformed, head)
+		require.NotErrorIs(t, err, serviceclient.ErrNotSent, head)
+	}
+}
--- a/internal/connection/sidecarclient/client.go
+++ b/internal/connection/sidecarclient/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/process/load"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
@@ -57,7 +58,7 @@
 // context to the header.
 func New(secret, self string, inject func(context.Context, http.Header)) *Client {
 	transport := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:        answerhead.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
--- a/internal/connection/sidecarclient/client_test.go
+++ b/internal/connection/sidecarclient/client_test.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohold/flamingohold/internal/connection/sidecarclient"
 	"github.com/flamingohold/flamingohold/internal/request/attempt"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 	"github.com/flamingohold/flamingohold/pkg/problem"
 )
 
@@ -131,3 +132,11 @@
 		time.Sleep(1500 * time.Millisecond)
 	}
 }
+
+// Guards against an answer with a malformed head that counts as the sidecar's consent.
+func TestAnswerWithAMalformedHeadIsALostCall(t *testing.T) {
+	address := serve(t, rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")))
+	require.ErrorIs(t, newClient().Cancel(t.Context(), address, "g"), sidecarclient.ErrLost)
+	_, err := newClient().Query(t.Context(), address, "a-1")
+	require.ErrorIs(t, err, sidecarclient.ErrLost)
+}
--- a/internal/process/configwatch/watcher.go
+++ b/internal/process/configwatch/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/settings"
 	"github.com/flamingohold/flamingohold/internal/version/adoption"
@@ -94,7 +95,7 @@
 
 func newTransport(dial time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+		DialContext:         answerhead.DialKept((&net.Dialer{Timeout: dial}).DialContext),
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/sidecarclient"
 	"github.com/flamingohold/flamingohold/internal/process/decisions"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
@@ -116,7 +117,7 @@
 
 func peerClient() *http.Client {
 	transport := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		DialContext:       answerhead.Dial((&net.Dialer{Timeout: peerDialTimeout}).DialContext),
 		DisableKeepAlives: true,
 	}
 	return &http.Client{Transport: transport, Timeout: peerCallTimeout}
--- a/internal/process/instancelist/reader.go
+++ b/internal/process/instancelist/reader.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
 	"github.com/flamingohold/flamingohold/internal/process/pause"
@@ -76,7 +77,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
-	transport := &http.Transport{DialContext: dialer.DialContext}
+	transport := &http.Transport{DialContext: answerhead.DialKept(dialer.DialContext)}
 	return &Reader{
 		address: address,
 		client:  &http.Client{Transport: transport},
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/engine"
 	"github.com/flamingohold/flamingohold/internal/connection/serviceclient"
 	"github.com/flamingohold/flamingohold/internal/process/decisions"
@@ -130,7 +132,7 @@
 		handovers:    handover.New(),
 		decisions:    decisions.New(d.settings.Name, decisions.DefaultCapacity),
 		reportLimit:  reportlimit.New(),
-		peerClient:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		peerClient:   newPeerClient(),
 		jobs:         newRegistry[*job](),
 		generations:  newRegistry[*generationRun](),
 		wake:         make(chan struct{}, 1),
@@ -139,6 +141,13 @@
 	return s, nil
 }
 
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:       answerhead.Dial(new(net.Dialer).DialContext),
+		DisableKeepAlives: true,
+	}}
+}
+
 func newIncarnation() (string, error) {
 	random := make([]byte, incarnationBytes)
 	if _, err := rand.Read(random); err != nil {
