Answers: a name of a field that is no token makes the head malformed

What callers saw: a worker in trouble sent an answer in whose head the name of a field held a blank. In a test against such a worker callers got the answer with that line, or, where the line was the length, were held to the deadline, since the body then ended with the connection only.

Cause: the parser of the standard library takes names with blanks in and behind them as they are, and joins a line that begins with a blank to the field before it. "Content-Length : 9" and " Content-Length: 9" are no length to it. Control bytes in names it refuses.

Change: answerhead checks that each name is a token, by httpguts of golang.org/x/net. A blank behind a name could be dropped, and a line that begins with one be joined, as RFC 9112 lets proxies do; but which of two readings the sender meant, and where its body ends, is not known. So both are refused.

Ruled out: a check of the parsed names, which does not see joined lines.

Measured: 132 further forms of answers on four kinds of routes, in the head itself and in an interim one.

--- a/internal/connection/answerhead/checker.go
+++ b/internal/connection/answerhead/checker.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is returned for an answer whose head is malformed. Neither its status nor
@@ -31,6 +32,8 @@
 	restOfLine
 	// lineStart: the first byte of a field, or of the end of the head.
 	lineStart
+	// fieldName: the name of a field behind its first byte, up to the colon.
+	fieldName
 	// headEnd: the line feed that ends the head.
 	headEnd
 	// done: everything behind the head.
@@ -84,8 +87,14 @@
 		case '\n':
 			c.endHead()
 		default:
+			return c.nextOfName(b)
+		}
+	case fieldName:
+		if b == ':' {
 			c.state = restOfLine
+			return nil
 		}
+		return c.nextOfName(b)
 	case headEnd:
 		if b != '\n' {
 			return errors.Wrapf(ErrMalformed, "byte %q behind a carriage return", b)
@@ -139,6 +148,17 @@
 	return nil
 }
 
+// nextOfName checks a byte of the name of a field, which must be a token (RFC 9112, section
+// 5). Blanks at the start of a line, which once continued the field before, and those behind a
+// name are refused too: the sender may mean them otherwise, and the field may be the length.
+func (c *Checker) nextOfName(b byte) error {
+	if !httpguts.IsTokenRune(rune(b)) {
+		return errors.Wrapf(ErrMalformed, "byte %q in the name of a field", b)
+	}
+	c.state = fieldName
+	return nil
+}
+
 // endHead ends the check, or prepares it for the head that follows an interim one.
 func (c *Checker) endHead() {
 	interim := c.status < http.StatusOK
--- a/internal/connection/answerhead/checker_test.go
+++ b/internal/connection/answerhead/checker_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 )
@@ -36,6 +37,19 @@
 	" HTTP/1.1 200 OK\r\n\r\n":                                     false,
 	"\r\nHTTP/1.1 200 OK\r\n\r\n":                                  false,
 	"HTTP/1.1 200 OK\r\n\rA: b\r\n\r\n":                            false,
+	"HTTP/1.1 200 OK\r\nX-!#$%&'*+.^_`|~9: \x00\r\nB:\r\n\r\n":     true,
+	"HTTP/1.1 200 OK\r\n A: b\r\n\r\n":                             false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n\tC: d\r\n\r\n":                    false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n \r\n\r\n":                         false,
+	"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                             false,
+	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n":                            false,
+	"HTTP/1.1 200 OK\r\nA\x01: b\r\n\r\n":                          false,
+	"HTTP/1.1 200 OK\r\nA\x80: b\r\n\r\n":                          false,
+	"HTTP/1.1 200 OK\r\nA\r: b\r\n\r\n":                            false,
+	"HTTP/1.1 200 OK\r\n: b\r\n\r\n":                               false,
+	"HTTP/1.1 200 OK\r\nA\r\n\r\n":                                 false,
+	"HTTP/1.1 103 Hints\r\nA : b\r\n\r\nHTTP/1.1 200\r\n\r\n":      false,
+	"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200\r\nA : b\r\n\r\n":      false,
 }
 
 // Guards against heads that are judged by where the network divides them.
@@ -64,7 +78,8 @@
 }
 
 // FuzzChecker guards against a head that the check accepts and the parser reads in another
-// way: with a status that no answer can have, or as complete while the check expects more.
+// way: with a status that no answer can have, with a name that is no token, or as complete
+// while the check expects more.
 func FuzzChecker(f *testing.F) {
 	for head := range heads {
 		f.Add([]byte(head))
@@ -83,6 +98,9 @@
 			require.GreaterOrEqual(t, response.StatusCode, http.StatusContinue)
 			require.Less(t, response.StatusCode, 600)
 			require.NotEqual(t, http.StatusSwitchingProtocols, response.StatusCode)
+			for name := range response.Header {
+				require.True(t, httpguts.ValidHeaderFieldName(name), name)
+			}
 			if response.StatusCode >= http.StatusOK {
 				require.True(t, c.Done())
 				return
@@ -90,3 +108,17 @@
 		}
 	})
 }
+
+// BenchmarkChecker checks the head of an ordinary answer.
+func BenchmarkChecker(b *testing.B) {
+	head := []byte("HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 02:30:00 GMT\r\nContent-Type: text/event-stream\r\n" +
+		"Cache-Control: no-store\r\nX-Request-Id: 9c41d07be2a35f68\r\nTransfer-Encoding: chunked\r\n\r\n")
+	b.SetBytes(int64(len(head)))
+	var c answerhead.Checker
+	for b.Loop() {
+		c.Reset()
+		if err := c.Check(head); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/connection/serviceclient/serviceclient_test.go
+++ b/internal/connection/serviceclient/serviceclient_test.go
@@ -142,7 +142,10 @@
 // Guards against an answer with a malformed head that is passed on: its status and its
 // length cannot be relied on, and the service may have run the request.
 func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 Error", "HTTP/1.1 +20 Error", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Error"} {
+	for _, head := range []string{
+		"HTTP/1.1 000 Error", "HTTP/1.1 +20 Error", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Error",
+		"HTTP/1.1 200 OK\r\nA : b", "HTTP/1.1 200 OK\r\nA b: c", "HTTP/1.1 200 OK\r\nA: b\r\n C: d", "HTTP/1.1 200 OK\r\nA\x01: b",
+	} {
 		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always(head + "\r\nContent-Length: 2\r\n\r\nok")))
 		defer server.Close()
 		_, err := serviceclient.New(strings.TrimPrefix(server.URL, "http://")).Call(t.Context(), booking())
--- a/internal/request/forwarding/malformed_test.go
+++ b/internal/request/forwarding/malformed_test.go
@@ -30,9 +30,32 @@
 	for _, status := range []string{"000", "-00", "+20", "099", "101", "600", "999"} {
 		answers["status "+status] = "HTTP/1.1 " + status + " Error\r\n" + identity + "Content-Length: 9\r\n\r\n" + malformedBody
 	}
+	for name, field := range malformedFields() {
+		for where, lines := range map[string]string{"first ": field + identity, "last ": identity + field} {
+			answers[where+name] = "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 9\r\n\r\n" + malformedBody
+			answers[where+name+", no length"] = "HTTP/1.1 200 OK\r\n" + lines + "\r\n" + malformedBody
+			answers[where+name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + lines + "\r\n" + sound
+		}
+	}
 	return answers
 }
 
+// malformedFields are field lines whose names are malformed, by their form.
+func malformedFields() map[string]string {
+	fields := map[string]string{
+		"no name": ": 9\r\n", "no colon": "Content-Length\r\n", "separator in a name": "Content(Length): 9\r\n",
+		"byte above ASCII in a name": "Content-L\xe9ngth: 9\r\n",
+	}
+	for name, b := range map[string]string{
+		"blank": " ", "tab": "\t", "null": "\x00", "carriage return": "\r", "bell": "\a", "delete": "\x7f",
+	} {
+		fields[name+" before a name"] = b + "Content-Length: 9\r\n"
+		fields[name+" in a name"] = "Content" + b + "Length: 9\r\n"
+		fields[name+" behind a name"] = "Content-Length" + b + ": 9\r\n"
+	}
+	return fields
+}
+
 // writeUnchanged returns an upstream that writes the answer as it is.
 func writeUnchanged(answer string) http.HandlerFunc {
 	return rawanswer.Handler(func(r *http.Request) string {
