Gateway: a stored answer with a malformed name is not passed on

What callers would have seen: a repeated order gets the answer that a sidecar stored before it checked heads, with a field whose name holds a blank.

Cause: gateways check the status of a sidecar's response frame, but wrote all names as they came.

Change: such a frame gets 502 "malformed_response", as one with a status out of range did.

Measured: the new case of TestOrderOutcomes failed before (201 in place of 502) and passes. The case of status 000 passed before and stays as a test.

--- a/internal/process/gateway/order_test.go
+++ b/internal/process/gateway/order_test.go
@@ -49,6 +49,8 @@
 	minted := "fhk1.h1.inc.1"
 	busy := problem.NotRun("queue_full", "full", time.Second)
 	otherIncarnation := problem.Unknown("other_incarnation", "bound to another")
+	withField := responseFrame(http.StatusCreated, "ok")
+	withField.Header.Set("Content-Length ", "9")
 	for name, test := range map[string]struct {
 		key      string
 		offer    offerScript
@@ -60,6 +62,8 @@
 		offers int
 	}{
 		"answered":                          {minted, respondWith(http.StatusCreated, "ok"), nil, http.StatusCreated, "", 1},
+		"answered with status 000":          {minted, respondWith(0, "ok"), nil, http.StatusBadGateway, problem.OutcomeIncomplete, 1},
+		"answered with a malformed name":    {minted, func(s *fakeStream, _ *attempt.Attempt) { s.send(withField) }, nil, http.StatusBadGateway, problem.OutcomeIncomplete, 1},
 		"cut while queued":                  {minted, cutAfterHeartbeat, []attempt.Status{{State: attempt.StateRevoked}}, http.StatusServiceUnavailable, problem.OutcomeNotRun, 1},
 		"cut while running":                 {minted, cutAfterHeartbeat, []attempt.Status{{State: attempt.StateRunning}, {State: attempt.StateRunning}, {State: attempt.StateDone, Response: stored}}, http.StatusCreated, "", 1},
 		"idle while running":                {minted, hangAfterHeartbeat, []attempt.Status{{State: attempt.StateRunning}, {State: attempt.StateDone, Response: stored}}, http.StatusCreated, "", 1},
--- a/internal/process/gateway/sinks.go
+++ b/internal/process/gateway/sinks.go
@@ -5,6 +5,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/flamingohold/flamingohold/internal/request/completion"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
 	"github.com/flamingohold/flamingohold/pkg/eventid"
@@ -161,10 +164,11 @@
 
 func (s *bufferedSink) fail(p problem.Problem) { s.session.refuse(p) }
 
-// respond forwards an upstream's response to the caller.
+// respond forwards an upstream's response to the caller. A sidecar of an earlier version
+// may have stored a malformed one.
 func (s *session) respond(f *frame.Frame) {
-	if f.Status < http.StatusOK || f.Status > maxStatus {
-		s.refuse(problem.Incomplete("malformed_response", "the upstream answered with status "+strconv.Itoa(f.Status)))
+	if err := checkHead(f); err != nil {
+		s.refuse(problem.Incomplete("malformed_response", err.Error()))
 		return
 	}
 	h := s.writer.Header()
@@ -183,3 +187,17 @@
 	s.writer.WriteHeader(f.Status)
 	_, _ = s.writer.Write(f.Body)
 }
+
+// checkHead returns an error if the response's status is not final or one of its fields has
+// a name that is no token.
+func checkHead(f *frame.Frame) error {
+	if f.Status < http.StatusOK || f.Status > maxStatus {
+		return errors.Newf("the upstream answered with status %d", f.Status)
+	}
+	for name := range f.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("the upstream answered with a field %q", name)
+		}
+	}
+	return nil
+}
