Count answers with a malformed head; a test for each place that reads answers

Routers count them in forward_malformed_answers; the line attempt_failed names the request and the cause, as for every failed send. New tests: the clients of the configuration service, the instance list, of other gateways and of a hand-over; interim answers before a sound one; the connection of a malformed answer is closed.

Measured: with the check of connections taken out the tests of these clients fail, among them configwatch, which waited 60 s for the end of a body whose length stood in a malformed line; with it all pass. The test of interim answers passed before.

--- /dev/null
+++ b/internal/process/configwatch/source_test.go
@@ -0,0 +1,27 @@
+package configwatch
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
+)
+
+// Guards against a configuration that is taken from an answer with a malformed head, or
+// that is read until the peer closes the connection because its length is in a malformed
+// line.
+func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
+	for _, head := range []string{"000 Error\r\n", "200 OK\r\nContent-Length : 2\r\n"} {
+		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 " + head + "\r\n{}")))
+		defer server.Close()
+		w := New(Options{}, nil)
+		peer := &peerSource{client: w.client, address: strings.TrimPrefix(server.URL, "http://"), timeout: time.Minute}
+		_, err := peer.chunk(t.Context(), "hash")
+		require.ErrorIs(t, err, answerhead.ErrMalformed, head)
+	}
+}
--- a/internal/process/instancelist/reader_test.go
+++ b/internal/process/instancelist/reader_test.go
@@ -15,8 +15,10 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 	"github.com/flamingohold/flamingohold/internal/process/instance"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 const deliveryTimeout = 30 * time.Second
@@ -72,6 +74,18 @@
 	require.Equal(t, 3, strings.Count(log.String(), `"event":4008`))
 }
 
+// Guards against a list that is taken from an answer with a malformed head, or that is
+// read until the service closes the connection because its length is in a malformed line.
+func TestListWithAMalformedHeadIsRefused(t *testing.T) {
+	const list = `{"index":9,"instances":[]}`
+	for _, head := range []string{"000 Error\r\n", "200 OK\r\nContent-Length : 26\r\n"} {
+		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 " + head + "\r\n" + list)))
+		defer server.Close()
+		_, err := Read(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+		require.ErrorIs(t, err, answerhead.ErrMalformed)
+	}
+}
+
 // Guards against reading large lists too often while many instances change. A
 // list of the target size is read only every few seconds.
 func TestPauseGrowsWithListSize(t *testing.T) {
--- a/internal/process/sidecar/handover_test.go
+++ b/internal/process/sidecar/handover_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 // Guards against a ledger that is never handed over because a small link takes longer than a fixed limit.
@@ -35,3 +38,13 @@
 	require.Equal(t, http.StatusOK, status)
 	require.EqualValues(t, size, <-received)
 }
+
+// Guards against a hand-over that counts as received because of an answer with a malformed
+// head.
+func TestHandOverAnsweredWithAMalformedHeadFails(t *testing.T) {
+	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 0\r\n\r\n")))
+	t.Cleanup(server.Close)
+	_, h := newPlainHarness(t, 1, false)
+	_, _, err := h.sidecar.callPeer(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/x", nil)
+	require.ErrorIs(t, err, answerhead.ErrMalformed)
+}
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
 	"github.com/flamingohold/flamingohold/internal/process/directory"
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
@@ -208,6 +209,9 @@
 		}
 	case answered, withdrawn:
 	}
+	if errors.Is(err, answerhead.ErrMalformed) {
+		c.Metrics.malformedAnswer()
+	}
 	if result != answered {
 		c.recordFailedAttempt(v, result, answer, err)
 		if answer != nil {
--- a/internal/request/forwarding/malformed_test.go
+++ b/internal/request/forwarding/malformed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
@@ -79,13 +80,23 @@
 			t.Run(name+"/"+route, func(t *testing.T) {
 				t.Parallel()
 				var sound atomic.Int32
-				h := newHarness(t, writeUnchanged(answer), func(w http.ResponseWriter, r *http.Request) {
+				closed := make(chan struct{})
+				h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+					defer close(closed)
+					writeUnchanged(answer)(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) {
 					sound.Add(1)
 					expected.sound(w, r)
 				})
+				scope := tally.NewTestScope("", nil)
+				h.forwarder.Metrics = NewMetrics(scope)
 				response := h.do(h.request(http.MethodPost, "/"+route+"/x", ""))
 				body := bodyOf(t, response)
 				require.NotContains(t, body, malformedBody)
+				counters := scope.Snapshot().Counters()
+				require.Contains(t, counters, "forward.malformed_answers+")
+				require.EqualValues(t, 1, counters["forward.malformed_answers+"].Value())
+				<-closed
 				if expected.repeatable {
 					require.Equal(t, http.StatusOK, response.StatusCode, body)
 					require.Equal(t, "seal-of-u-2", response.Header.Get(testNames.Seal))
@@ -98,3 +109,14 @@
 		}
 	}
 }
+
+// Guards against an interim answer that is refused or passed on: upstreams may send them
+// before the answer.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	const interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	h := newHarness(t, writeUnchanged(interim+"HTTP/1.1 200 OK\r\n"+identity+"Content-Length: 5\r\n\r\nsound"))
+	response := h.do(h.request(http.MethodPost, "/order/x", ""))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "sound", bodyOf(t, response))
+	require.Empty(t, response.Header.Get("Link"))
+}
--- a/internal/request/forwarding/metrics.go
+++ b/internal/request/forwarding/metrics.go
@@ -41,6 +41,8 @@
 	m.scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts_failed").Inc(1)
 }
 
+func (m *Metrics) malformedAnswer() { m.scope.Counter("malformed_answers").Inc(1) }
+
 func (m *Metrics) abandoned() { m.scope.Counter("abandoned").Inc(1) }
 
 func (m *Metrics) broken() { m.scope.Counter("broken").Inc(1) }
