Simplify the check of heads after a read of the whole change

* Connections for one request no longer take a lock at each read and write; only kept ones do, as a type of their own in place of a flag.
* The counter of malformed answers stands where failed sends are counted.
* Gateways use the highest status of answerhead, which stood there twice.
* rawanswer.Serve starts the server that eight tests started each for themselves; Always goes.

Behaviour and the assertions of the tests are unchanged.

--- a/internal/connection/answerhead/checker.go
+++ b/internal/connection/answerhead/checker.go
@@ -11,15 +11,17 @@
 // its length can be relied on.
 var ErrMalformed = errors.New("malformed head of an answer")
 
+// MaxStatus is the highest valid status (RFC 9110, section 15).
+const MaxStatus = 599
+
 const (
 	// version is the start of a status line, which a minor version of one digit follows.
 	version = "HTTP/1."
 	// statusStart and statusEnd delimit the status in a status line (RFC 9112, section 4).
 	statusStart = len(version) + len("1 ")
 	statusEnd   = statusStart + len("200")
-	// minStatus and maxStatus bound valid statuses (RFC 9110, section 15).
+	// minStatus is the lowest valid status.
 	minStatus = 100
-	maxStatus = 599
 )
 
 // state is the part of a head to which the next byte belongs.
@@ -131,7 +133,7 @@
 
 // endStatus checks the status and the byte behind it.
 func (c *Checker) endStatus(b byte) error {
-	if c.status < minStatus || c.status > maxStatus {
+	if c.status < minStatus || c.status > MaxStatus {
 		return errors.Wrapf(ErrMalformed, "status %03d", c.status)
 	}
 	if c.status == http.StatusSwitchingProtocols {
--- a/internal/connection/answerhead/conn.go
+++ b/internal/connection/answerhead/conn.go
@@ -11,53 +11,73 @@
 
 // Dial returns a function that opens connections whose heads are checked. It is for
 // transports that use each connection for one request.
-func Dial(dial DialFunc) DialFunc { return checked(dial, false) }
+func Dial(dial DialFunc) DialFunc {
+	return wrapping(dial, func(socket net.Conn) net.Conn { return &conn{Conn: socket} })
+}
 
 // DialKept is Dial for transports that use a connection for several requests, none of
 // which has a body.
-func DialKept(dial DialFunc) DialFunc { return checked(dial, true) }
+func DialKept(dial DialFunc) DialFunc {
+	return wrapping(dial, func(socket net.Conn) net.Conn { return &keptConn{conn: conn{Conn: socket}} })
+}
 
-func checked(dial DialFunc, kept bool) DialFunc {
+func wrapping(dial DialFunc, wrap func(net.Conn) net.Conn) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		socket, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: socket, kept: kept}, nil
+		return wrap(socket), nil
 	}
 }
 
-// conn is a connection whose Read returns ErrMalformed in place of a malformed head.
+// conn is a connection for one request. Its Read returns ErrMalformed in place of a malformed
+// head, and must not be called concurrently.
 type conn struct {
 	net.Conn
-	// kept is true if a write behind the head of an answer starts another request.
-	kept bool
-
-	mu      sync.Mutex
 	checker Checker
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if malformed := c.checker.Check(buffer[:n]); malformed != nil {
+	return c.check(buffer[:n], err)
+}
+
+// check returns the result of a read of the data that ended with the error.
+func (c *conn) check(data []byte, err error) (int, error) {
+	if malformed := c.checker.Check(data); malformed != nil {
 		return 0, malformed
 	}
-	return n, err
+	return len(data), err
+}
+
+// keptConn is a connection for several requests. A write behind the head of an answer starts
+// the next request.
+type keptConn struct {
+	conn
+	// mu guards the checker, since a transport reads and writes concurrently.
+	mu sync.Mutex
+}
+
+// Read implements net.Conn.
+func (c *keptConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.check(buffer[:n], err)
 }
 
 // Write implements net.Conn.
-func (c *conn) Write(data []byte) (int, error) {
+func (c *keptConn) Write(data []byte) (int, error) {
 	c.startRequest()
 	return c.Conn.Write(data)
 }
 
-func (c *conn) startRequest() {
+func (c *keptConn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.kept && c.checker.Done() {
+	if c.checker.Done() {
 		c.checker.Reset()
 	}
 }
--- a/internal/connection/answerhead/conn_test.go
+++ b/internal/connection/answerhead/conn_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -74,10 +72,9 @@
 // must not start the check of another head.
 func TestBodyOfAnEarlyAnswerIsNotCheckedAsAHead(t *testing.T) {
 	const body = "HTTP/1.1 000 Error\r\n\r\n"
-	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n" + body)))
-	defer server.Close()
+	address := rawanswer.Serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n"+body)
 	dial := answerhead.Dial(new(net.Dialer).DialContext)
-	c, err := dial(t.Context(), "tcp", strings.TrimPrefix(server.URL, "http://"))
+	c, err := dial(t.Context(), "tcp", address)
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
 	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
--- a/internal/connection/engine/engine_test.go
+++ b/internal/connection/engine/engine_test.go
@@ -135,9 +135,8 @@
 // Guards against an answer with a malformed head that counts as the engine's refusal, which
 // callers get, or as the success of a cancellation.
 func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
-	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")))
-	defer server.Close()
-	client := engine.New(strings.TrimPrefix(server.URL, "http://"))
+	address := rawanswer.Serve(t, "HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")
+	client := engine.New(address)
 	_, err := client.Start(t.Context(), "/v1/completions", []byte("{}"), "g", 0)
 	require.ErrorIs(t, err, answerhead.ErrMalformed)
 	require.ErrorIs(t, client.Cancel(t.Context(), "g"), answerhead.ErrMalformed)
--- a/internal/connection/enginecontrol/enginecontrol_test.go
+++ b/internal/connection/enginecontrol/enginecontrol_test.go
@@ -115,8 +115,7 @@
 // Guards against an answer with a malformed head that counts as the success of a control
 // request.
 func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
-	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")))
-	defer server.Close()
-	client := enginecontrol.New(strings.TrimPrefix(server.URL, "http://"), 5, true)
+	address := rawanswer.Serve(t, "HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")
+	client := enginecontrol.New(address, 5, true)
 	require.ErrorIs(t, client.Load(t.Context(), "m"), answerhead.ErrMalformed)
 }
--- a/internal/connection/serviceclient/serviceclient_test.go
+++ b/internal/connection/serviceclient/serviceclient_test.go
@@ -146,9 +146,8 @@
 		"HTTP/1.1 000 Error", "HTTP/1.1 +20 Error", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Error",
 		"HTTP/1.1 200 OK\r\nA : b", "HTTP/1.1 200 OK\r\nA b: c", "HTTP/1.1 200 OK\r\nA: b\r\n C: d", "HTTP/1.1 200 OK\r\nA\x01: b",
 	} {
-		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always(head + "\r\nContent-Length: 2\r\n\r\nok")))
-		defer server.Close()
-		_, err := serviceclient.New(strings.TrimPrefix(server.URL, "http://")).Call(t.Context(), booking())
+		address := rawanswer.Serve(t, head+"\r\nContent-Length: 2\r\n\r\nok")
+		_, err := serviceclient.New(address).Call(t.Context(), booking())
 		require.ErrorIs(t, err, answerhead.ErrMalformed, head)
 		require.NotErrorIs(t, err, serviceclient.ErrNotSent, head)
 	}
--- a/internal/connection/sidecarclient/client_test.go
+++ b/internal/connection/sidecarclient/client_test.go
@@ -135,7 +135,7 @@
 
 // Guards against an answer with a malformed head that counts as the sidecar's consent.
 func TestAnswerWithAMalformedHeadIsALostCall(t *testing.T) {
-	address := serve(t, rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")))
+	address := rawanswer.Serve(t, "HTTP/1.1 000 Error\r\nContent-Length: 2\r\n\r\n{}")
 	require.ErrorIs(t, newClient().Cancel(t.Context(), address, "g"), sidecarclient.ErrLost)
 	_, err := newClient().Query(t.Context(), address, "a-1")
 	require.ErrorIs(t, err, sidecarclient.ErrLost)
--- a/internal/process/configwatch/source_test.go
+++ b/internal/process/configwatch/source_test.go
@@ -1,8 +1,6 @@
 package configwatch
 
 import (
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -17,10 +15,9 @@
 // line.
 func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
 	for _, head := range []string{"000 Error\r\n", "200 OK\r\nContent-Length : 2\r\n"} {
-		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 " + head + "\r\n{}")))
-		defer server.Close()
+		address := rawanswer.Serve(t, "HTTP/1.1 "+head+"\r\n{}")
 		w := New(Options{}, nil)
-		peer := &peerSource{client: w.client, address: strings.TrimPrefix(server.URL, "http://"), timeout: time.Minute}
+		peer := &peerSource{client: w.client, address: address, timeout: time.Minute}
 		_, err := peer.chunk(t.Context(), "hash")
 		require.ErrorIs(t, err, answerhead.ErrMalformed, head)
 	}
--- a/internal/process/gateway/peers_test.go
+++ b/internal/process/gateway/peers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -13,9 +12,8 @@
 
 // Guards against an answer of another gateway that is used although its head is malformed.
 func TestPeerAnswerWithAMalformedHeadIsAnError(t *testing.T) {
-	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}")))
-	t.Cleanup(server.Close)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, http.NoBody)
+	address := rawanswer.Serve(t, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}")
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, http.NoBody)
 	require.NoError(t, err)
 	response, err := peerClient().Do(request)
 	if err == nil {
--- a/internal/process/gateway/sinks.go
+++ b/internal/process/gateway/sinks.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
 	"github.com/flamingohold/flamingohold/internal/request/completion"
 	"github.com/flamingohold/flamingohold/internal/request/frame"
 	"github.com/flamingohold/flamingohold/pkg/eventid"
@@ -18,9 +19,6 @@
 // the caller, so that proxies and firewalls do not close an idle connection.
 const keepAliveInterval = 15 * time.Second
 
-// maxStatus is the largest HTTP status.
-const maxStatus = 599
-
 // sink writes a generation to the caller.
 type sink interface {
 	// token adds the next token.
@@ -191,7 +189,7 @@
 // checkHead returns an error if the response's status is not final or one of its fields has
 // a name that is no token.
 func checkHead(f *frame.Frame) error {
-	if f.Status < http.StatusOK || f.Status > maxStatus {
+	if f.Status < http.StatusOK || f.Status > answerhead.MaxStatus {
 		return errors.Newf("the upstream answered with status %d", f.Status)
 	}
 	for name := range f.Header {
--- a/internal/process/instancelist/reader_test.go
+++ b/internal/process/instancelist/reader_test.go
@@ -79,9 +79,8 @@
 func TestListWithAMalformedHeadIsRefused(t *testing.T) {
 	const list = `{"index":9,"instances":[]}`
 	for _, head := range []string{"000 Error\r\n", "200 OK\r\nContent-Length : 26\r\n"} {
-		server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 " + head + "\r\n" + list)))
-		defer server.Close()
-		_, err := Read(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+		address := rawanswer.Serve(t, "HTTP/1.1 "+head+"\r\n"+list)
+		_, err := Read(t.Context(), address)
 		require.ErrorIs(t, err, answerhead.ErrMalformed)
 	}
 }
--- a/internal/process/sidecar/handover_test.go
+++ b/internal/process/sidecar/handover_test.go
@@ -42,9 +42,8 @@
 // Guards against a hand-over that counts as received because of an answer with a malformed
 // head.
 func TestHandOverAnsweredWithAMalformedHeadFails(t *testing.T) {
-	server := httptest.NewServer(rawanswer.Handler(rawanswer.Always("HTTP/1.1 000 Error\r\nContent-Length: 0\r\n\r\n")))
-	t.Cleanup(server.Close)
+	address := rawanswer.Serve(t, "HTTP/1.1 000 Error\r\nContent-Length: 0\r\n\r\n")
 	_, h := newPlainHarness(t, 1, false)
-	_, _, err := h.sidecar.callPeer(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/x", nil)
+	_, _, err := h.sidecar.callPeer(t.Context(), address, "/x", nil)
 	require.ErrorIs(t, err, answerhead.ErrMalformed)
 }
--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -209,9 +209,6 @@
 		}
 	case answered, withdrawn:
 	}
-	if errors.Is(err, answerhead.ErrMalformed) {
-		c.Metrics.malformedAnswer()
-	}
 	if result != answered {
 		c.recordFailedAttempt(v, result, answer, err)
 		if answer != nil {
@@ -277,6 +274,9 @@
 		status = answer.Status
 	}
 	c.Metrics.attemptFailed(o)
+	if errors.Is(err, answerhead.ErrMalformed) {
+		c.Metrics.malformedAnswer()
+	}
 	c.Log.Emit(eventlog.AttemptFailed).Str("request_id", c.id).Str("upstream", v.ID).Str("service", v.Service).
 		Str("outcome", o.String()).Int("status", status).Int("calls", v.Calls).Int64("incarnation", v.Incarnation).Strs("parts", c.parts).
 		Bool("reported", v.Reported).Dur("report_age", v.ReportAge).Err(err).Send()
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 )
 
 // Handler returns a handler that writes the answer to each request as it is, and keeps the
@@ -24,7 +25,10 @@
 	}
 }
 
-// Always returns a function for Handler that returns the answer for each request.
-func Always(answer string) func(*http.Request) string {
-	return func(*http.Request) string { return answer }
+// Serve starts a server that writes the answer to each request as it is, and returns its
+// "ip:port". The server is closed when the test ends.
+func Serve(t interface{ Cleanup(func()) }, answer string) string {
+	server := httptest.NewServer(Handler(func(*http.Request) string { return answer }))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
 }
