Routers: a part of an early answer is not complete if the connection is reset

What callers saw: an upstream answered a long upload at once with a status 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part with a length of the router's own, or as a stream that ended properly.

Cause: a body without a length ends where a read returns io.EOF. The system reports a reset to the next call only. The router writes uploads above 8 KiB beside the read; where that write got "connection reset by peer", the read got a plain end, and the result of the write was only used to decide whether the connection is kept. The same happens where an upstream closes with bytes of the upload unread, as its system then sends a reset.

Change: package peerclose.

--- a/internal/connection/upstreamclient/connection.go
+++ b/internal/connection/upstreamclient/connection.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/flamingohold/flamingohold/internal/connection/peerclose"
 )
 
 const (
@@ -38,7 +39,7 @@
 type connection struct {
 	pool    *Pool
 	address string
-	socket  net.Conn
+	socket  *peerclose.Conn
 	// source bounds and checks what reader reads of a head.
 	source *headSource
 	reader *bufio.Reader
@@ -52,7 +53,7 @@
 	idleSince time.Time
 }
 
-func newConnection(p *Pool, address string, socket net.Conn) *connection {
+func newConnection(p *Pool, address string, socket *peerclose.Conn) *connection {
 	source := &headSource{source: socket}
 	return &connection{
 		pool: p, address: address, socket: socket, source: source,
@@ -80,7 +81,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.socket.(syscall.Conn)
+	sc, ok := c.socket.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/connection/upstreamclient/pool.go
+++ b/internal/connection/upstreamclient/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/flamingohold/flamingohold/internal/connection/peerclose"
 )
 
 const (
@@ -156,7 +158,7 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial(address)
 	}
-	return newConnection(p, address, socket), nil
+	return newConnection(p, address, peerclose.New(socket)), nil
 }
 
 func (p *Pool) putIdle(c *connection) {
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -120,9 +120,7 @@
 	})
 	h.directory = directory.New(eventlog.Discard(), func(string, string) (float64, bool) { return 0, false })
 	for i, handler := range upstreams {
-		server := httptest.NewServer(handler)
-		t.Cleanup(server.Close)
-		h.addUpstream(i, strings.TrimPrefix(server.URL, "http://"))
+		h.addHandler(i, handler)
 	}
 	pool := upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now)
 	h.limits = statedlimit.New(func(statedlimit.Upstream) bool { return true }, func(statedlimit.Limit) {})
@@ -157,6 +155,13 @@
 	return h
 }
 
+// addHandler adds an upstream with the index that answers as the handler does.
+func (h *harness) addHandler(i int, handler http.Handler) {
+	server := httptest.NewServer(handler)
+	h.t.Cleanup(server.Close)
+	h.addUpstream(i, server.Listener.Addr().String())
+}
+
 // addUpstream adds an upstream with the index to the directory. The first one is
 // preferred, as it is in the router's data centre.
 func (h *harness) addUpstream(i int, address string) {
