Sidecars and gateways: an answer that a reset cuts is not complete

What callers would have seen: the first part of an order's answer, stored as the complete one and delivered to each repetition with its key; a part of an engine's error as the engine's refusal. A hand-over of a ledger would have counted as received, and a part of another gateway's reply as the reply. In all cases the peer answered a large request early, without a length, and reset the connection.

The library's transport writes the request beside the read of the answer. Where its write got the reset, the body ended with io.EOF unless the transport had closed the connection before the read.

Change: answerhead.Dial and DialKept, which open the connections of all these clients, use package peerclose.

Handled before, tests added: links to sidecars, which need a terminal frame or a whole problem document; control requests, the configuration and the instance list, whose requests are written before the answer, so that the read gets the reset. A complete early answer of a service that reads on is delivered, as before.

--- a/internal/connection/answerhead/conn.go
+++ b/internal/connection/answerhead/conn.go
@@ -4,13 +4,16 @@
 	"context"
 	"net"
 	"sync"
+
+	"github.com/flamingohold/flamingohold/internal/connection/peerclose"
 )
 
 // DialFunc opens a connection. It is the type of DialContext in http.Transport.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial returns a function that opens connections whose heads are checked. It is for
-// transports that use each connection for one request.
+// Dial returns a function that opens connections whose heads are checked, and whose end by a
+// reset is an error also if a write gets it (package peerclose). It is for transports that use
+// each connection for one request.
 func Dial(dial DialFunc) DialFunc {
 	return wrapping(dial, func(socket net.Conn) net.Conn { return &conn{Conn: socket} })
 }
@@ -27,7 +30,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return wrap(socket), nil
+		return wrap(peerclose.New(socket)), nil
 	}
 }
 
--- a/internal/connection/answerhead/conn_test.go
+++ b/internal/connection/answerhead/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -88,3 +89,19 @@
 	require.NoError(t, err)
 	require.Equal(t, body, string(content))
 }
+
+// Guards against a connection that seems to be closed by its peer although a write got a reset.
+func TestResetThatAWriteGotIsReturnedByRead(t *testing.T) {
+	for _, wrap := range []func(answerhead.DialFunc) answerhead.DialFunc{answerhead.Dial, answerhead.DialKept} {
+		address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", rawanswer.Reset)
+		c, err := wrap(new(net.Dialer).DialContext)(t.Context(), "tcp", address)
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 33554432\r\n\r\n")
+		require.NoError(t, err)
+		_, err = c.Write(make([]byte, 32<<20))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		_, err = io.ReadAll(c)
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
--- a/internal/connection/engine/engine_test.go
+++ b/internal/connection/engine/engine_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingohold/flamingohold/internal/connection/answerhead"
@@ -141,3 +142,34 @@
 	require.ErrorIs(t, err, answerhead.ErrMalformed)
 	require.ErrorIs(t, client.Cancel(t.Context(), "g"), answerhead.ErrMalformed)
 }
+
+// Guards against a part of an early answer that is used: the engine reset the connection while a
+// large prompt was being written. A part of an error is no refusal, which callers get, and a part
+// of a stream is not its end.
+func TestEarlyAnswerThatAResetCutsIsAnError(t *testing.T) {
+	body, err := json.Marshal(map[string]string{"prompt": strings.Repeat("x", 1<<18)})
+	require.NoError(t, err)
+	refusing := engine.New(rawanswer.ServeEarly(t, "HTTP/1.1 400 Bad Request\r\n\r\ntoo lo", rawanswer.Reset))
+	streaming := engine.New(rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: {}\n\n", rawanswer.Reset))
+	refusals := 0
+	for range 200 {
+		_, err := refusing.Start(t.Context(), "/v1/completions", body, "g", 0)
+		require.Error(t, err)
+		var refusal *engine.Refusal
+		if errors.As(err, &refusal) {
+			refusals++
+		}
+		requireTruncated(t, streaming, body)
+	}
+	require.Zero(t, refusals, "parts of refusals returned as refusals")
+}
+
+// requireTruncated requires that a stream of the engine is not complete.
+func requireTruncated(t *testing.T, client *engine.Client, body []byte) {
+	t.Helper()
+	stream, err := client.Start(t.Context(), "/v1/completions", body, "g", 0)
+	for err == nil {
+		_, _, err = stream.Next()
+	}
+	require.NotErrorIs(t, err, io.EOF)
+}
--- a/internal/connection/enginecontrol/enginecontrol_test.go
+++ b/internal/connection/enginecontrol/enginecontrol_test.go
@@ -119,3 +119,12 @@
 	client := enginecontrol.New(address, 5, true)
 	require.ErrorIs(t, client.Load(t.Context(), "m"), answerhead.ErrMalformed)
 }
+
+// Guards against a control request that is reported as done after a part of an answer: the engine
+// reset the connection.
+func TestAnswerThatAResetCutsIsAnError(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", rawanswer.Reset)
+	for range 200 {
+		require.Error(t, enginecontrol.New(address, 5, true).Load(t.Context(), "m"))
+	}
+}
--- a/internal/connection/serviceclient/serviceclient_test.go
+++ b/internal/connection/serviceclient/serviceclient_test.go
@@ -152,3 +152,35 @@
 		require.NotErrorIs(t, err, serviceclient.ErrNotSent, head)
 	}
 }
+
+// Guards against a part of an early answer without a length that is recorded as the complete
+// one: the service reset the connection while the request was being written.
+func TestEarlyAnswerThatAResetCutsIsAnError(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", rawanswer.Reset)
+	request := booking()
+	request.Body = make([]byte, 1<<20)
+	answered := 0
+	for range 200 {
+		_, err := serviceclient.New(address).Call(t.Context(), request)
+		require.NotErrorIs(t, err, serviceclient.ErrNotSent)
+		if err == nil {
+			answered++
+		}
+	}
+	require.Zero(t, answered, "parts returned as answers")
+}
+
+// Guards against a complete early answer that counts as failed: the service reads the request
+// after it.
+func TestEarlyAnswerWhoseConnectionIsClosedIsComplete(t *testing.T) {
+	request := booking()
+	request.Body = make([]byte, 1<<20)
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"} {
+		address := rawanswer.ServeEarly(t, head+"whole", rawanswer.CloseAndRead)
+		for range 20 {
+			answer, err := serviceclient.New(address).Call(t.Context(), request)
+			require.NoError(t, err, head)
+			require.Equal(t, "whole", string(answer.Body))
+		}
+	}
+}
--- a/internal/connection/sidecarclient/client_test.go
+++ b/internal/connection/sidecarclient/client_test.go
@@ -140,3 +140,23 @@
 	_, err := newClient().Query(t.Context(), address, "a-1")
 	require.ErrorIs(t, err, sidecarclient.ErrLost)
 }
+
+// Guards against a part of an early answer that is used: the sidecar reset the connection while
+// a large attempt was being written. A part of a refusal does not show that nothing ran, and a
+// link without a terminal frame has not ended.
+func TestEarlyAnswerThatAResetCutsIsALostCall(t *testing.T) {
+	a := &attempt.Attempt{ID: "a-1", Request: attempt.Request{Body: make([]byte, 1<<20)}}
+	for _, answer := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Type: " + problem.MediaType + "\r\n\r\n{\"outcome\":\"not_run\"",
+		"HTTP/1.1 200 OK\r\nContent-Type: " + frame.MediaType + "\r\n\r\n{\"kind\":\"heartbeat\"}\n",
+	} {
+		address := rawanswer.ServeEarly(t, answer, rawanswer.Reset)
+		for range 100 {
+			s, err := newClient().Offer(t.Context(), address, a)
+			for err == nil {
+				err = s.Next(new(frame.Frame))
+			}
+			require.ErrorIs(t, err, sidecarclient.ErrLost)
+		}
+	}
+}
--- a/internal/connection/upstreamclient/fetcher_test.go
+++ b/internal/connection/upstreamclient/fetcher_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/flamingohold/flamingohold/internal/connection/stall"
 	"github.com/flamingohold/flamingohold/internal/connection/upstreamclient"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 // fetchFrom fetches from a peer that sends count units with a pause before each.
@@ -88,3 +89,20 @@
 	answer.Close()
 	require.EqualValues(t, 1, dialled.Load())
 }
+
+// Guards against a part of an early answer of another process that is used: it reset the
+// connection while a large message was being written.
+func TestEarlyReplyThatAResetCutsIsAnError(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\n{}", rawanswer.Reset)
+	limits := upstreamclient.FetchLimits{Head: 10 * time.Second, Stall: 10 * time.Second, Total: 20 * time.Second, MaxBytes: 1000}
+	f := upstreamclient.NewFetcher(upstreamclient.New(upstreamclient.Options{DialTimeout: time.Second}, time.Now), limits)
+	message := strings.Repeat("x", 1<<20)
+	answered := 0
+	for range 200 {
+		var reply struct{}
+		if _, err := f.PostJSON(t.Context(), address, "/", message, &reply, 0); err == nil {
+			answered++
+		}
+	}
+	require.Zero(t, answered, "parts returned as replies")
+}
--- a/internal/process/configwatch/source_test.go
+++ b/internal/process/configwatch/source_test.go
@@ -22,3 +22,15 @@
 		require.ErrorIs(t, err, answerhead.ErrMalformed, head)
 	}
 }
+
+// Guards against a part of a configuration, without a length, that is used after its source
+// reset the connection.
+func TestAnswerThatAResetCutsIsAnError(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\n{}", rawanswer.Reset)
+	w := New(Options{}, nil)
+	peer := &peerSource{client: w.client, address: address, timeout: time.Minute}
+	for range 200 {
+		_, err := peer.chunk(t.Context(), "hash")
+		require.Error(t, err)
+	}
+}
--- a/internal/process/gateway/peers_test.go
+++ b/internal/process/gateway/peers_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"testing"
 
@@ -21,3 +23,24 @@
 	}
 	require.ErrorIs(t, err, answerhead.ErrMalformed)
 }
+
+// Guards against a part of an early answer of another gateway that is used: it reset the
+// connection while the request was being written.
+func TestEarlyPeerAnswerThatAResetCutsIsAnError(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", rawanswer.Reset)
+	answered := 0
+	for range 200 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, bytes.NewReader(make([]byte, 1<<20)))
+		require.NoError(t, err)
+		response, err := peerClient().Do(request)
+		if err != nil {
+			continue
+		}
+		_, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err == nil {
+			answered++
+		}
+	}
+	require.Zero(t, answered, "parts returned as answers")
+}
--- a/internal/process/instancelist/reader_test.go
+++ b/internal/process/instancelist/reader_test.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// Guards against a list without a length that is used after its service reset the connection.
+func TestListThatAResetCutsIsRefused(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\n"+`{"index":9,"instances":[]}`, rawanswer.Reset)
+	for range 200 {
+		_, err := Read(t.Context(), address)
+		require.Error(t, err)
+	}
+}
+
 // Guards against reading large lists too often while many instances change. A
 // list of the target size is read only every few seconds.
 func TestPauseGrowsWithListSize(t *testing.T) {
--- a/internal/process/sidecar/handover_test.go
+++ b/internal/process/sidecar/handover_test.go
@@ -47,3 +47,17 @@
 	_, _, err := h.sidecar.callPeer(t.Context(), address, "/x", nil)
 	require.ErrorIs(t, err, answerhead.ErrMalformed)
 }
+
+// Guards against a hand-over that counts as received because of a part of an early answer: the
+// peer reset the connection while the ledger was being written.
+func TestHandOverWithAnEarlyAnswerThatAResetCutsFails(t *testing.T) {
+	address := rawanswer.ServeEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", rawanswer.Reset)
+	_, h := newPlainHarness(t, 1, false)
+	received := 0
+	for range 200 {
+		if _, _, err := h.sidecar.callPeer(t.Context(), address, "/x", make([]byte, 1<<20)); err == nil {
+			received++
+		}
+	}
+	require.Zero(t, received, "hand-overs that count as received")
+}
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 )
@@ -32,3 +33,32 @@
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
+
+// ServeEarly starts a server that writes the answer to each request as it is, before it has
+// read the body, and calls end before it closes the connection. It returns its "ip:port". The
+// server is closed when the test ends.
+func ServeEarly(t interface{ Cleanup(func()) }, answer string, end func(*net.TCPConn)) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		_, _ = io.WriteString(connection, answer)
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			end(tcp)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Reset makes the next Close of the connection reset it.
+func Reset(c *net.TCPConn) { _ = c.SetLinger(0) }
+
+// CloseAndRead closes the connection for writing and reads the rest of the request.
+func CloseAndRead(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	_, _ = io.Copy(io.Discard, c)
+}
