--- a/internal/request/forwarding/attempt.go
+++ b/internal/request/forwarding/attempt.go
@@ -281,3 +281,12 @@
 		Str("outcome", o.String()).Int("status", status).Int("calls", v.Calls).Int64("incarnation", v.Incarnation).Strs("parts", c.parts).
 		Bool("reported", v.Reported).Dur("report_age", v.ReportAge).Err(err).Send()
 }
+
+// recordIncompleteAnswer logs and counts a failed attempt whose answer has a valid head, but
+// could not be read to its proper end.
+func (c *call) recordIncompleteAnswer(v directory.View, answer *upstreamclient.Answer, err error) {
+	if !c.requestCancelled() {
+		c.Metrics.incompleteAnswer()
+	}
+	c.recordFailedAttempt(v, lost, answer, err)
+}
--- a/internal/request/forwarding/earlyanswer_test.go
+++ b/internal/request/forwarding/earlyanswer_test.go
@@ -11,7 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingohold/flamingohold/internal/process/eventlog"
 )
 
 const (
@@ -138,6 +142,10 @@
 	err error
 	// others is the number of requests that the other upstream got.
 	others int32
+	// incomplete is the number of answers that the router counted as incomplete.
+	incomplete int64
+	// failures are the lines of failed attempts in the router's log.
+	failures []string
 }
 
 // complete reports whether the caller got a successful and complete response.
@@ -149,6 +157,10 @@
 	t.Helper()
 	var others atomic.Int32
 	h := newHarness(t)
+	scope := tally.NewTestScope("", nil)
+	h.forwarder.Metrics = NewMetrics(scope)
+	var log lineLog
+	h.forwarder.Log = eventlog.New(&log, zerolog.InfoLevel, "router")
 	h.addUpstream(0, serveConnections(t, u.serve))
 	h.addHandler(1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		others.Add(1)
@@ -156,7 +168,18 @@
 	}))
 	response := h.do(h.request(http.MethodPost, "/"+route.name+"/x", strings.Repeat("x", size)))
 	body, err := io.ReadAll(response.Body)
-	return earlyResult{status: response.StatusCode, body: string(body), err: err, others: others.Load()}
+	return earlyResult{
+		status: response.StatusCode, body: string(body), err: err, others: others.Load(),
+		incomplete: countOf(scope, "forward.incomplete_answers+"), failures: log.linesWith(`"name":"attempt_failed"`),
+	}
+}
+
+// countOf returns the value of the counter, 0 if it was not used.
+func countOf(scope tally.TestScope, name string) int64 {
+	if counter, ok := scope.Snapshot().Counters()[name]; ok {
+		return counter.Value()
+	}
+	return 0
 }
 
 // forEachEarly runs the function for each upstream, kind of route and size of an upload.
@@ -195,6 +218,10 @@
 				require.NotContains(t, result.body, `"not_run"`)
 				require.Zero(t, result.others, "the request may have run")
 			}
+			require.EqualValues(t, 1, result.incomplete)
+			require.Len(t, result.failures, 1)
+			require.Contains(t, result.failures[0], `"request_id":"`+testID+`"`)
+			require.Regexp(t, "connection reset by peer|unexpected EOF", result.failures[0])
 		}
 		require.Zero(t, passedOn, "cut answers passed on as complete, of %d", earlyTries)
 	})
@@ -232,6 +259,8 @@
 			require.True(t, result.complete(), "%+v", result)
 			require.Equal(t, u.body, result.body)
 			require.Zero(t, result.others)
+			require.Zero(t, result.incomplete)
+			require.Empty(t, result.failures)
 		}
 	})
 }
--- a/internal/request/forwarding/harness_test.go
+++ b/internal/request/forwarding/harness_test.go
@@ -237,3 +237,30 @@
 		}
 	}
 }
+
+// lineLog keeps the lines of a log.
+type lineLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer.
+func (l *lineLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(line))
+	return len(line), nil
+}
+
+// linesWith returns the lines that contain the text.
+func (l *lineLog) linesWith(text string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, line := range l.lines {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
--- a/internal/request/forwarding/metrics.go
+++ b/internal/request/forwarding/metrics.go
@@ -43,6 +43,8 @@
 
 func (m *Metrics) malformedAnswer() { m.scope.Counter("malformed_answers").Inc(1) }
 
+func (m *Metrics) incompleteAnswer() { m.scope.Counter("incomplete_answers").Inc(1) }
+
 func (m *Metrics) abandoned() { m.scope.Counter("abandoned").Inc(1) }
 
 func (m *Metrics) broken() { m.scope.Counter("broken").Inc(1) }
--- a/internal/request/forwarding/plain.go
+++ b/internal/request/forwarding/plain.go
@@ -101,7 +101,7 @@
 	}
 	if err != nil {
 		c.Directory.RecordOutcome(v.ID, true, c.Clock())
-		c.recordFailedAttempt(v, lost, answer, err)
+		c.recordIncompleteAnswer(v, answer, err)
 		return nil, lost, err
 	}
 	c.Directory.RecordOutcome(v.ID, answer.Status >= http.StatusInternalServerError, c.Clock())
--- a/internal/request/forwarding/streaming.go
+++ b/internal/request/forwarding/streaming.go
@@ -134,9 +134,13 @@
 func (s *stream) relayFailure(v directory.View, answer *upstreamclient.Answer) bool {
 	defer answer.Close()
 	body, err := answer.Body(maxPlainBody)
-	if err != nil || s.started {
-		s.recordFailedAttempt(v, lost, answer, err)
+	switch {
+	case err != nil:
+		s.recordIncompleteAnswer(v, answer, err)
 		return s.failAttempt(v, err)
+	case s.started:
+		s.recordFailedAttempt(v, lost, answer, nil)
+		return s.failAttempt(v, nil)
 	}
 	s.deliver(&plainAnswer{status: answer.Status, header: headers.EndToEnd(answer.Header), body: body, upstream: v})
 	return true
@@ -180,6 +184,7 @@
 		s.recordCrash(v, err)
 	}
 	s.Directory.RecordOutcome(v.ID, true, s.Clock())
+	s.Metrics.incompleteAnswer()
 	s.Log.Emit(eventlog.AttemptFailed).Str("request_id", s.id).Str("upstream", v.ID).Str("outcome", "cut").
 		Int64("incarnation", v.Incarnation).Strs("parts", s.parts).Int("events", s.events).Err(err).Send()
 	return s.failAttempt(v, err)
--- a/internal/request/forwarding/waiting_test.go
+++ b/internal/request/forwarding/waiting_test.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -416,24 +415,13 @@
 	return sendgate.Decision{Reason: sendgate.LimitUsedUp, RetryIn: time.Minute}
 }
 
-// refusalCounter is a log that counts the lines about refused permits.
-type refusalCounter struct{ atomic.Int64 }
-
-// Write implements io.Writer.
-func (c *refusalCounter) Write(line []byte) (int, error) {
-	if bytes.Contains(line, []byte(eventlog.PermitRefused.Name)) {
-		c.Add(1)
-	}
-	return len(line), nil
-}
-
 // Guards against a waiting request that reserves and releases room, and writes log lines,
 // 20 to 50 times a second at an engine whose stated limit is used up.
 func TestWaitingRequestDoesNotAskEnginesWithoutPermit(t *testing.T) {
 	h, reservations := newCompetingHarness(t, grant, recordRanks(make(chan string, 1)))
 	h.forwarder.Gate = limitedGate{}
-	var refusals refusalCounter
-	h.forwarder.Log = eventlog.New(&refusals, zerolog.InfoLevel, "router")
+	var log lineLog
+	h.forwarder.Log = eventlog.New(&log, zerolog.InfoLevel, "router")
 	request := h.promptRequest("/draft/x", "a", testKey)
 	request.Header.Set(testNames.Deadline, "1300")
 	response := h.do(request)
@@ -443,7 +431,7 @@
 	asked, released := reservations.recorded()
 	require.Len(t, asked, 1)
 	require.Equal(t, []string{"u-1 a"}, released)
-	require.LessOrEqual(t, refusals.Load(), int64(2), "one of the wait and one of the last choice")
+	require.LessOrEqual(t, len(log.linesWith(eventlog.PermitRefused.Name)), 2, "one of the wait and one of the last choice")
 }
 
 // BenchmarkSearchForRoom measures a search in which all engines refuse.
