--- a/internal/request/forwarding/earlyanswer_test.go
+++ b/internal/request/forwarding/earlyanswer_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingohold/flamingohold/internal/process/eventlog"
+	"github.com/flamingohold/flamingohold/internal/standin/rawanswer"
 )
 
 const (
@@ -99,8 +100,8 @@
 		},
 	}
 	endings := map[string]func(*net.TCPConn){
-		"reset":       func(c *net.TCPConn) { _ = c.SetLinger(0) },
-		"reset later": func(c *net.TCPConn) { time.Sleep(10 * time.Millisecond); _ = c.SetLinger(0) },
+		"reset":       rawanswer.Reset,
+		"reset later": func(c *net.TCPConn) { time.Sleep(10 * time.Millisecond); rawanswer.Reset(c) },
 		"unread":      func(*net.TCPConn) {},
 	}
 	upstreams := make(map[string]earlyUpstream)
@@ -230,19 +231,18 @@
 // soundEarlyAnswers are upstreams that send a complete early answer and close the connection
 // properly, by the form of both.
 func soundEarlyAnswers() map[string]earlyUpstream {
-	readRest := func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }
 	upstreams := make(map[string]earlyUpstream)
 	for framing, u := range framings() {
 		u.before = func(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
 		u.after = func(*net.TCPConn) {}
 		upstreams[framing+"/upload read, closed"] = u
 		u.before = func(*http.Request) {}
-		u.after = func(c *net.TCPConn) { _ = c.CloseWrite(); readRest(c) }
+		u.after = rawanswer.CloseAndRead
 		upstreams[framing+"/closed, upload read"] = u
 		u.after = func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(10 * time.Millisecond) }
 		upstreams[framing+"/closed, upload not read"] = u
 		if u.delimited {
-			u.after = readRest
+			u.after = func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }
 			upstreams[framing+"/upload read, kept open"] = u
 		}
 	}
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -12,6 +12,12 @@
 // Handler returns a handler that writes the answer to each request as it is, and keeps the
 // connection open until its caller closes it.
 func Handler(answer func(*http.Request) string) http.HandlerFunc {
+	return handler(answer, readRest)
+}
+
+// handler returns a handler that writes the answer to each request as it is, before it has read
+// the body, and calls end before it closes the connection.
+func handler(answer func(*http.Request) string, end func(*net.TCPConn)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		connection, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -22,34 +28,22 @@
 		if _, err := io.WriteString(connection, answer(r)); err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, connection)
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			end(tcp)
+		}
 	}
 }
 
 // Serve starts a server that writes the answer to each request as it is, and returns its
 // "ip:port". The server is closed when the test ends.
 func Serve(t interface{ Cleanup(func()) }, answer string) string {
-	server := httptest.NewServer(Handler(func(*http.Request) string { return answer }))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	return ServeEarly(t, answer, readRest)
 }
 
-// ServeEarly starts a server that writes the answer to each request as it is, before it has
-// read the body, and calls end before it closes the connection. It returns its "ip:port". The
-// server is closed when the test ends.
+// ServeEarly is Serve with a function that is called after the answer was written, before the
+// connection is closed. The body of the request has not been read.
 func ServeEarly(t interface{ Cleanup(func()) }, answer string, end func(*net.TCPConn)) string {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		connection, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		defer func() { _ = connection.Close() }()
-		_, _ = io.WriteString(connection, answer)
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			end(tcp)
-		}
-	}))
+	server := httptest.NewServer(handler(func(*http.Request) string { return answer }, end))
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
@@ -60,5 +54,8 @@
 // CloseAndRead closes the connection for writing and reads the rest of the request.
 func CloseAndRead(c *net.TCPConn) {
 	_ = c.CloseWrite()
-	_, _ = io.Copy(io.Discard, c)
+	readRest(c)
 }
+
+// readRest reads until the caller closes the connection.
+func readRest(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }
