--- /dev/null
+++ b/review/standin-3/desk.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	idHeader       = "X-Flamingohold-Attempt-Id"
+	sealHeader     = "X-Flamingohold-Response-Seal"
+	deadlineHeader = "X-Flamingohold-Deadline-Ms"
+	expectHeader   = "X-Flamingohold-Expect-Instance"
+)
+
+// desk is a sound worker of a plain service.
+type desk struct {
+	id   string
+	bed  *bed
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (d *desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(idHeader)
+	w.Header().Set(idHeader, id)
+	if expected := r.Header.Get(expectHeader); expected != "" && expected != d.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	d.mu.Lock()
+	d.runs[id]++
+	d.mu.Unlock()
+	d.bed.log("worker %s runs %s", d.id, id)
+	time.Sleep(15 * time.Millisecond)
+	w.Header().Set(sealHeader, "seal-"+d.id)
+	fmt.Fprintf(w, "done %s", id)
+}
