Review case 14: an encoded slash selects the route of another service

The route is selected by the decoded path, so that POST /hire/stock%2F42 is run by the service of /hire/stock/, although only /hire/ begins its path.

--- a/review/standin-3/bed.go
+++ b/review/standin-3/bed.go
@@ -19,10 +19,14 @@
 	storePort, workerPort             = 8742, 9000
 )
 
+// memoryMB is the memory of a machine, as that of the site's routers.
+const memoryMB = 134
+
 // process is a router or a reporter.
 type process struct {
 	*exec.Cmd
 	role, ip string
+	machine  int
 	// exited is closed once the process has ended.
 	exited chan struct{}
 }
@@ -94,7 +98,7 @@
 	s := map[string]any{
 		"node_name": fmt.Sprintf("%s-%d", role, machine), "role": role, "ip": ip, "zone": "z-a", "region": "r", "zones": map[string]string{"z-a": "r"},
 		"internal_ports": []int{firstInternal, lastInternal}, "seeds": []string{b.address(11, controlPort), b.address(12, controlPort)}, "bootstrap": true,
-		"limits":       map[string]any{"cpu_share": 0.304, "cores": 1, "memory_mb": 134, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":       map[string]any{"cpu_share": 0.304, "cores": 1, "memory_mb": memoryMB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"heartbeat_ms": 1200, "tolerate": map[string]int{"machines": 2, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
 			"contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "config_ms": 2000, "budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 54,
@@ -113,11 +117,13 @@
 	check(os.WriteFile(path, data, 0o600))
 	output, err := os.Create(filepath.Join(b.dir, fmt.Sprintf("%s-%d.log", role, machine)))
 	check(err)
-	p := &process{Cmd: exec.Command(b.program, role), role: role, ip: ip, exited: make(chan struct{})}
+	p := &process{Cmd: exec.Command(b.program, role), role: role, ip: ip, machine: machine, exited: make(chan struct{})}
 	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FLAMINGOHOLD_CONFIG=" + path}
 	p.Stdout, p.Stderr = output, output
 	check(p.Start())
 	go func() { _ = p.Wait(); close(p.exited) }()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.processes = append(b.processes, p)
 	return p
 }
@@ -170,7 +176,7 @@
 func (b *bed) configure(routes, services []map[string]any) {
 	b.store.put("op/config", map[string]any{
 		"version": 3, "routes": routes, "services": services,
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": "tenant-1", "api_keys": []string{"key-1"}}},
 	})
 }
--- a/review/standin-3/desk.go
+++ b/review/standin-3/desk.go
@@ -17,10 +17,12 @@
 
 // desk is a sound worker of a plain service.
 type desk struct {
-	id   string
-	bed  *bed
-	mu   sync.Mutex
-	runs map[string]int
+	id  string
+	bed *bed
+	// quiet leaves the runs out of the record.
+	quiet bool
+	mu    sync.Mutex
+	runs  map[string]int
 }
 
 func (d *desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -36,8 +38,17 @@
 	d.mu.Lock()
 	d.runs[id]++
 	d.mu.Unlock()
-	d.bed.log("worker %s runs %s", d.id, id)
+	if !d.quiet {
+		d.bed.log("worker %s runs %s", d.id, id)
+	}
 	time.Sleep(15 * time.Millisecond)
 	w.Header().Set(sealHeader, "seal-"+d.id)
 	fmt.Fprintf(w, "done %s", id)
 }
+
+// runCount returns how often the worker ran the request.
+func (d *desk) runCount(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[id]
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,6 +11,9 @@
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(b *bed, trouble bool) bool{
 	"11": expectContinue,
+	"12": longPrefixes,
+	"13": fullOfIdleChannels,
+	"14": encodedSlash,
 }
 
 func main() {
