Review case 11: a crashed worker that is back at once passes half answers for whole

An answer without a length counts as complete if the worker's address accepts a connection 50 ms after its end. A worker that was killed in the middle and started again at once accepts it.

The encoded slash is case 12 now, with its stand-ins in one program.

--- a/review/standin-3/bed.go
+++ b/review/standin-3/bed.go
@@ -19,14 +19,16 @@
 	storePort, workerPort             = 8742, 9000
 )
 
-// memoryMB is the memory of a machine, as that of the site's routers.
-const memoryMB = 134
+const (
+	// memoryMB is the memory of a machine, as that of the site's routers.
+	memoryMB = 134
+	// heartbeat is the interval of the workers' liveness reports.
+	heartbeat = 1200 * time.Millisecond
+)
 
-// process is a router or a reporter.
+// process is a router, or a worker that has one of its own.
 type process struct {
 	*exec.Cmd
-	role, ip string
-	machine  int
 	// exited is closed once the process has ended.
 	exited chan struct{}
 }
@@ -48,6 +50,7 @@
 	f, err := os.Create(record)
 	check(err)
 	b := &bed{dir: dir, program: "target/flamingohold", store: newStore(), record: f, start: time.Now()}
+	present = b
 	b.network = freeNetwork()
 	serve(b.address(2, storePort), b.store)
 	return b
@@ -67,12 +70,19 @@
 	return ""
 }
 
+// present is the only bed of the program.
+var present *bed
+
 // check ends the program with status 2 if the case cannot run.
 func check(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "cannot run:", err)
-		os.Exit(2)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "cannot run:", err)
+	if present != nil {
+		present.end()
 	}
+	os.Exit(2)
 }
 
 func serve(address string, h http.Handler) {
@@ -92,32 +102,30 @@
 	fmt.Fprintf(b.record, "%8.3f s  %s\n", time.Since(b.start).Seconds(), fmt.Sprintf(format, a...))
 }
 
-// launch starts a role on a machine, as deploy/system.toml says.
-func (b *bed) launch(role string, machine int, app string) *process {
+// launch starts a router on a machine, as deploy/system.toml says. The deployments of the
+// cases have plain services only, so that they have no machines of class side.
+func (b *bed) launch(machine int) *process {
+	const role = "router"
 	ip := b.ip(machine)
 	s := map[string]any{
 		"node_name": fmt.Sprintf("%s-%d", role, machine), "role": role, "ip": ip, "zone": "z-a", "region": "r", "zones": map[string]string{"z-a": "r"},
 		"internal_ports": []int{firstInternal, lastInternal}, "seeds": []string{b.address(11, controlPort), b.address(12, controlPort)}, "bootstrap": true,
 		"limits":       map[string]any{"cpu_share": 0.304, "cores": 1, "memory_mb": memoryMB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
-		"heartbeat_ms": 1200, "tolerate": map[string]int{"machines": 2, "zones": 1, "regions": 0},
+		"heartbeat_ms": heartbeat.Milliseconds(), "tolerate": map[string]int{"machines": 2, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
 			"contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "config_ms": 2000, "budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 54,
 			"evacuate_ms": 5000, "recover_s": 12, "pass_ms": 120,
 		},
 		"provider": map[string]any{"address": b.address(2, storePort), "form": "read", "reads_per_s": 2000, "history_s": 20},
 	}
-	if role == "router" {
-		s["serves"] = []string{"front", "control"}
-		s["listen"] = map[string]string{"front": b.address(machine, frontPort), "ready": b.address(machine, readyPort), "control": b.address(machine, controlPort)}
-	} else {
-		s["serves"], s["app"], s["listen"] = []string{"side"}, app, map[string]string{}
-	}
+	s["serves"] = []string{"front", "control"}
+	s["listen"] = map[string]string{"front": b.address(machine, frontPort), "ready": b.address(machine, readyPort), "control": b.address(machine, controlPort)}
 	data, _ := json.Marshal(s)
 	path := filepath.Join(b.dir, fmt.Sprintf("%s-%d.json", role, machine))
 	check(os.WriteFile(path, data, 0o600))
 	output, err := os.Create(filepath.Join(b.dir, fmt.Sprintf("%s-%d.log", role, machine)))
 	check(err)
-	p := &process{Cmd: exec.Command(b.program, role), role: role, ip: ip, machine: machine, exited: make(chan struct{})}
+	p := &process{Cmd: exec.Command(b.program, role), exited: make(chan struct{})}
 	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FLAMINGOHOLD_CONFIG=" + path}
 	p.Stdout, p.Stderr = output, output
 	check(p.Start())
@@ -128,16 +136,6 @@
 	return p
 }
 
-// hasExited reports whether the process ends within the time.
-func (p *process) hasExited(within time.Duration) bool {
-	select {
-	case <-p.exited:
-		return true
-	case <-time.After(within):
-		return false
-	}
-}
-
 // isReady asks the router at the machine whether it is ready, as the platform does.
 func (b *bed) isReady(machine int) bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standin-3/desk.go
+++ b/review/standin-3/desk.go
@@ -15,6 +15,13 @@
 	expectHeader   = "X-Flamingohold-Expect-Instance"
 )
 
+const (
+	// orderTimeout is the timeout_ms of the routes for orders.
+	orderTimeout = 1500 * time.Millisecond
+	// late is how much longer clients wait for an answer.
+	late = 500 * time.Millisecond
+)
+
 // desk is a sound worker of a plain service.
 type desk struct {
 	id  string
--- a/review/standin-3/case14.go
+++ b/review/standin-3/encodedslash.go
@@ -33,7 +33,7 @@
 		workers[service] = d
 	}
 	b.log("worker i-1 is one of hire-app, worker i-2 one of stock-app")
-	b.launch("router", 11, "")
+	b.launch(11)
 	b.awaitReady(11)
 	path := "/hire/stock-42"
 	if trouble {
--- a/review/standin-3/case13.go
+++ b/review/standin-3/idlechannels.go
@@ -45,7 +45,7 @@
 		b.list(d.id, "hire-app", b.address(41+n, workerPort), "ready", time.Now().UnixMilli(), 6)
 	}
 	for _, m := range []int{11, 12} {
-		b.launch("router", m, "")
+		b.launch(m)
 	}
 	b.awaitReady(11)
 	b.awaitReady(12)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -10,13 +10,15 @@
 
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(b *bed, trouble bool) bool{
-	"11": expectContinue,
-	"12": longPrefixes,
+	"11": crashInAnswer,
+	"12": encodedSlash,
 	"13": fullOfIdleChannels,
-	"14": encodedSlash,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "worker" {
+		restartedWorker(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE RECORD")
 		os.Exit(2)
