--- a/review/standin-3/idlechannels.go
+++ b/review/standin-3/idlechannels.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +20,10 @@
 	tries   = 8
 )
 
+// minDescriptors is the number of descriptors that this program and the router may open
+// each, if the case is to say anything.
+const minDescriptors = 4100
+
 // newChannels holds when new channels of clients were taken, and when the router was ready.
 type newChannels struct {
 	mu sync.Mutex
@@ -32,6 +37,11 @@
 
 // fullOfIdleChannels lets one client open many channels without a request.
 func fullOfIdleChannels(b *bed, trouble bool) bool {
+	var limit syscall.Rlimit
+	check(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	if limit.Max < minDescriptors {
+		check(fmt.Errorf("%d descriptors are too few", limit.Max))
+	}
 	b.configure(
 		[]map[string]any{{
 			"name": "book-pay", "host": "hire.example", "path_prefix": "/pay/", "kind": "non_idempotent", "service": "hire-app",
